Fit the cost of a call and of its items apart

The size of a call was limited to 20 ms divided by its time for each item, taken as the time of the call divided by its items. When the machine is busy a call takes 60 ms whatever it carries; the limit then falls to one item, where the whole call counts as the cost of that item, so that it never grows again. Each item then needs a call of its own, 24 to 33 items waited at 10 to 12 ms each, and three times that wait is past a deadline of 1 s.

Change: batching.BatchSize fits the time of a call by least squares as a fixed part and a part for each item. Items may add as much as the call costs by itself, and at least 20 ms as before. While calls carry one item, one in 16 carries two, so that the fit has something to learn from.

--- a/cardamomflow/services.py
+++ b/cardamomflow/services.py
@@ -12,6 +12,7 @@
 from cardamomflow import (
     admission,
     alarms,
+    batching,
     callrunner,
     calls,
     context,
@@ -24,10 +25,6 @@
     workqueue,
 )
 
-BATCH_ITEMS = 16
-BATCH_TIME_S = 0.02
-# Weight of the last call in the running mean of the time for an item.
-ITEM_TIME_WEIGHT = 0.2
 # Leaves 3 s of the 5 s in which a leaving backend server gets its last work.
 STATUS_INTERVAL_S = 2.0
 # After a lost snapshot the holdings are read again within this time.
@@ -61,7 +58,7 @@
             service, source, surroundings.context
         )
         self._name = service.name
-        self._item_s: float = 0
+        self._batch_size = batching.BatchSize()
         self._around = surroundings
         self._clock = surroundings.context.clock
         self._metrics = surroundings.context.metrics
@@ -230,7 +227,7 @@
             )
 
         batch = [first]
-        limit = self._batch_limit()
+        limit = self._batch_size.limit()
         while len(batch) < limit and len(self._queue):
             queued = self._queue.take(now, suits)
             if queued is None:
@@ -239,16 +236,6 @@
                 batch.append(queued.item)
         return batch
 
-    def _batch_limit(self) -> int:
-        """Return the items that a call may carry.
-
-        A call holds its slot until all its items are done, so a long one
-        makes urgent work wait behind it.
-        """
-        if not self._item_s:
-            return BATCH_ITEMS
-        return max(1, min(BATCH_ITEMS, int(BATCH_TIME_S / self._item_s)))
-
     def shares_call(
         self, item: Any, backend_id: str, first: queries.QueryItem
     ) -> bool:
@@ -299,9 +286,9 @@
     async def ended(self, call: calls.Call, latency_s: float | None) -> None:
         """Feed the wait estimate and send what waited for the call."""
         if latency_s is not None:
-            item_s = latency_s / len(call.items_by_attempt)
-            self._item_s += (item_s - self._item_s) * ITEM_TIME_WEIGHT
-            self._queue.served(item_s)
+            count = len(call.items_by_attempt)
+            self._batch_size.learn(count, latency_s)
+            self._queue.served(latency_s / count)
         await self.pump()
 
     async def _refuse(self, item: Any, error: errors.FlowError) -> None:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -12,6 +12,7 @@
 
 from cardamomflow import (
     alarms,
+    batching,
     callrunner,
     errors,
     hedging,
@@ -107,7 +108,7 @@
 
     def test_short_items_share_a_call(self):
         """Guards against a call for each item of a busy service."""
-        self.assertEqual(self.sent_batches(0.0005)[0], services.BATCH_ITEMS)
+        self.assertEqual(self.sent_batches(0.0005)[0], batching.MAXIMUM_ITEMS)
 
     def test_long_items_do_not_hold_a_slot_together(self):
         """Guards against urgent work behind a call of 16 long items."""
