--- a/Makefile
+++ b/Makefile
@@ -3,18 +3,25 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
+# The lock is complete, so nothing has to be resolved; `installer.txt` comes
+# first, because the pip of Python 3.11 reads the index four times slower.
+PIP = $(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --require-hashes
 SOURCES = cardamomflow standins tests bench tools
 
 export PYTHONPATH := $(CURDIR)
-export PYTHONDONTWRITEBYTECODE = 1
+# The programs are started many times by the tests; without bytecode each start
+# compiles every module again, which doubles its processor time.
+export PYTHONDONTWRITEBYTECODE =
 
 .PHONY: demo test bench promises lint format generate check-generated lock setup
 
 setup: $(STAMP)
 
-$(STAMP): requirements/development.txt pyproject.toml
+$(STAMP): requirements/installer.txt requirements/development.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
-	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements/development.txt
+	$(PIP) -r requirements/installer.txt
+	$(PIP) --no-compile -r requirements/development.txt
+	$(PYTHON) -m compileall -q -j 0 $(VENV)/lib
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
 	touch $(STAMP)
 
@@ -24,7 +31,7 @@
 lint: $(STAMP)
 	$(PYTHON) -m ruff format --check $(SOURCES)
 	$(PYTHON) -m ruff check --quiet $(SOURCES)
-	$(PYTHON) -m flake8 --jobs 4 $(SOURCES)
+	$(PYTHON) -m flake8 --jobs 8 $(SOURCES)
 
 format: $(STAMP)
 	$(PYTHON) -m ruff format $(SOURCES)
@@ -45,5 +52,6 @@
 	$(PYTHON) -m tools.suite --promises
 
 lock:
+	cd requirements && ../$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe --no-emit-index-url --no-emit-find-links --strip-extras -o installer.txt installer.in
 	cd requirements && ../$(VENV)/bin/pip-compile --quiet --generate-hashes --no-emit-index-url --no-emit-find-links --strip-extras -o runtime.txt runtime.in
 	cd requirements && ../$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe --no-emit-index-url --no-emit-find-links --strip-extras -o development.txt development.in
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,7 +11,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -22,9 +21,10 @@
 import yaml
 
 from standins import network as relay
+from standins import reservedports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-ADDRESS = '127.0.0.1'
+ADDRESS = reservedports.ADDRESS
 REGION = 'loopback'
 # Place of the platform in the network.
 PLATFORM = 'platform'
@@ -58,15 +58,6 @@
     """A process did not start, answer or stop in time."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind((ADDRESS, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-
-
 def call(
     port: int,
     method: str,
@@ -190,7 +181,10 @@
         self.processes_by_name: dict[str, Process] = {}
         self._sample_share = sample_share
         backend_count = len('ab') * len(self.services)
-        ports = iter(free_ports(_SPARE_PORTS + backend_count))
+        self._reserved = reservedports.ReservedPorts(
+            _SPARE_PORTS + backend_count
+        )
+        ports = iter(self._reserved.ports)
         self.platform_port = next(ports)
         self.agent_ports = {zone: next(ports) for zone in zones}
         self.entry_ports = {zone: next(ports) for zone in zones}
@@ -489,6 +483,7 @@
             process.kill()
         if self.network is not None:
             self.network.close()
+        self._reserved.close()
 
     def _reached(self, port: int) -> dict[str, Any]:
         return {'address': ADDRESS, 'port': self.reached_port(port)}
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -24,21 +24,18 @@
     roster,
 )
 from cardamomflow.generated import control_pb2
+from standins import reservedports
 from tests import agent_process, test_documents
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = '127.0.0.1'
 
 
-def free_ports(count):
-    """Return ports that are free for TCP now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((LOOPBACK, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+def reserved_ports(test, count):
+    """Return ports that are kept for a test until its end."""
+    reserved = reservedports.ReservedPorts(count)
+    test.addCleanup(reserved.close)
+    return reserved.ports
 
 
 def settings_of(number, ports):
@@ -96,7 +93,7 @@
     """Three agents as processes."""
 
     def setUp(self):
-        self.ports = free_ports(3)
+        self.ports = reserved_ports(self, 3)
         self.processes = [self._start(number) for number in range(3)]
 
     def tearDown(self):
@@ -135,7 +132,7 @@
 
 class AdvertiseTest(unittest.TestCase):
     def endpoint(self, **settings):
-        document = {**settings_of(0, free_ports(2)), **settings}
+        document = {**settings_of(0, reserved_ports(self, 2)), **settings}
         around = agent_process.Surroundings('agent-0')
         record = agent.Agent(document, around).members.records()[0]
         return document['control']['port'], (record.address, record.port)
@@ -218,7 +215,7 @@
     """Agents, local processes and a platform in one loop."""
 
     def setUp(self):
-        self.ports = free_ports(4)
+        self.ports = reserved_ports(self, 4)
         self.platform = SilentPlatform()
         self.agents = {}
         self.tasks = {}
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -1,27 +1,72 @@
 """Run the test suite, or the proofs of `docs/PROMISES.md` alone.
 
-Tests listed in `KNOWN-RED.txt` may fail; they are printed with their state
-and do not change the verdict. Every other failure does.
+The suite is divided into units, each of which runs in a process of its own;
+several run at once. Tests listed in `KNOWN-RED.txt` run too and may fail.
+Every other failure decides the verdict, and so does an entry of that list
+which names no test.
 """
 
 import argparse
+import concurrent.futures
+import json
+import os
 import pathlib
 import re
+import signal
+import subprocess
 import sys
+import tempfile
+import time
 import unittest
 from collections.abc import Iterator
+from typing import NamedTuple
+
+from tools import knownred, testunit
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-_RED_LINE = re.compile(r'^test:\s*(\S+)', re.MULTILINE)
+# Fleets of real processes; each class starts its own fleet, so that the
+# classes can run at once.
+SPLIT_MODULES = ('tests.test_faults', 'tests.test_cuts')
+# Started first, the longest ahead, because they decide when the suite ends.
+LONG_MODULES = ('tests.test_fault_pairs', *SPLIT_MODULES, 'tests.test_path')
+# A fleet keeps about one core busy while it starts.
+JOBS = max(2, (os.cpu_count() or 2) * 3 // 4)
+# Every test is bounded by `testunit`; this ends a unit that hangs outside of
+# its tests, and is more than the longest unit took (180 s) beside load.
+UNIT_LIMIT_S = 420.0
 _PROOF = re.compile(r'`(tests\.[A-Za-z0-9_.]+)`')
+_WORKER_MODULE = 'tools.testunit'
+
+
+class Unit(NamedTuple):
+    """Tests that run in one process.
+
+    Attributes
+    ----------
+    name : str
+    tests : tuple of str
+        Dotted ids of all tests of the unit.
+    """
 
+    name: str
+    tests: tuple[str, ...]
 
-def known_red() -> set[str]:
-    """Return the ids of the tests that may fail."""
-    path = ROOT / 'KNOWN-RED.txt'
-    if not path.exists():
-        return set()
-    return set(_RED_LINE.findall(path.read_text()))
+
+class Finished(NamedTuple):
+    """What a unit came to.
+
+    Attributes
+    ----------
+    unit : Unit
+    report : testunit.Report
+    output : str
+    seconds : float
+    """
+
+    unit: Unit
+    report: testunit.Report
+    output: str
+    seconds: float
 
 
 def promised_tests() -> list[str]:
@@ -30,19 +75,43 @@
     return sorted(set(_PROOF.findall(text)))
 
 
-def _load(promises_only: bool) -> unittest.TestSuite:
+def list_tests() -> list[str]:
+    """Return the ids of all tests of the project."""
     loader = unittest.TestLoader()
-    if promises_only:
-        return _without_repeats(loader.loadTestsFromNames(promised_tests()))
-    return loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
+    found = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
+    return [test.id() for test in _flatten(found)]
 
 
-def _without_repeats(suite: unittest.TestSuite) -> unittest.TestSuite:
-    """Return each test once; a page may name a class and one of its tests."""
-    tests_by_id = {test.id(): test for test in _flatten(suite)}
-    return unittest.TestSuite(
-        tests_by_id[test_id] for test_id in sorted(tests_by_id)
-    )
+def divide(tests: list[str]) -> list[Unit]:
+    """Return the units of some tests, in the order in which to start them."""
+    tests_by_unit: dict[str, list[str]] = {}
+    for test in dict.fromkeys(tests):
+        tests_by_unit.setdefault(_unit_of(test), []).append(test)
+    units = [Unit(name, tuple(ids)) for name, ids in tests_by_unit.items()]
+    return sorted(units, key=_start_order)
+
+
+def _select(all_tests: list[str], *, promises_only: bool) -> list[str]:
+    if not promises_only:
+        return all_tests
+    chosen = promised_tests()
+    prefixes = tuple(f'{name}.' for name in chosen)
+    found = [
+        test
+        for test in all_tests
+        if test in chosen or test.startswith(prefixes)
+    ]
+    # A name that matches nothing fails in its unit, where it can't be loaded.
+    unmatched = [
+        name
+        for name in chosen
+        if not any(_covers(name, test) for test in all_tests)
+    ]
+    return [*found, *unmatched]
+
+
+def _covers(name: str, test: str) -> bool:
+    return test == name or test.startswith(f'{name}.')
 
 
 def _flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
@@ -53,32 +122,135 @@
             yield part
 
 
-def _failed_ids(result: unittest.TestResult) -> set[str]:
-    problems = [*result.failures, *result.errors]
-    failed = {_base_id(test) for test, _ in problems}
-    failed.update(_base_id(test) for test in result.unexpectedSuccesses)
-    return failed
+def _unit_of(test: str) -> str:
+    module = '.'.join(test.split('.')[:2])
+    if module in SPLIT_MODULES:
+        return '.'.join(test.split('.')[:3])
+    return module
+
+
+def _start_order(unit: Unit) -> tuple[int, str]:
+    for place, module in enumerate(LONG_MODULES):
+        if unit.name.startswith(module):
+            return place, unit.name
+    return len(LONG_MODULES), unit.name
+
+
+def run(unit: Unit) -> Finished:
+    """Run a unit; without a result, all of its tests have failed."""
+    started_at = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix='cardamomflow-unit-') as folder:
+        result_file = pathlib.Path(folder) / 'result.json'
+        output = _run_worker(unit, result_file)
+        if result_file.exists():
+            report: testunit.Report = json.loads(result_file.read_text())
+        else:
+            output = f'{output}\n{unit.name} ended without a result\n'
+            report = testunit.Report(
+                seconds_by_test=dict.fromkeys(unit.tests, 0),
+                failed=list(unit.tests),
+                skipped=[],
+            )
+    return Finished(unit, report, output, time.monotonic() - started_at)
+
+
+def _run_worker(unit: Unit, result_file: pathlib.Path) -> str:
+    """Run a unit in a process group of its own, and end what is left of it."""
+    worker = subprocess.Popen(
+        [sys.executable, '-m', _WORKER_MODULE, str(result_file), *unit.tests],
+        cwd=ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
+    try:
+        return worker.communicate(timeout=UNIT_LIMIT_S)[0]
+    except subprocess.TimeoutExpired:
+        os.killpg(worker.pid, signal.SIGKILL)
+        output = worker.communicate()[0]
+        return f'{output}\n{unit.name} took longer than {UNIT_LIMIT_S:g} s\n'
+    finally:
+        _end_group(worker.pid)
+
+
+def _end_group(group: int) -> None:
+    """End processes of a unit that its tests left behind."""
+    try:
+        os.killpg(group, signal.SIGKILL)
+    except ProcessLookupError:
+        return
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def _print_unit(finished: Finished) -> None:
+    report = finished.report
+    state = 'FAILED' if report['failed'] else 'ok'
+    _say(
+        f'{state} {finished.unit.name}: {len(report["seconds_by_test"])} tests'
+        f' in {finished.seconds:.1f} s'
+    )
+    if report['failed']:
+        _say(finished.output)
+
+
+def _run_all(units: list[Unit], jobs: int) -> list[Finished]:
+    ended = []
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        waiting = [pool.submit(run, unit) for unit in units]
+        for future in concurrent.futures.as_completed(waiting):
+            ended.append(future.result())
+            _print_unit(ended[-1])
+    return ended
+
 
+def judge(
+    ended: list[Finished], entries_by_test: dict[str, knownred.Entry]
+) -> int:
+    """Print the listed tests and the closing line; return the exit status.
 
-def _base_id(test: unittest.TestCase) -> str:
-    """Return the id of a test, without the part of a subtest."""
-    return test.id().split(' ')[0]
+    Only a failure of exactly a listed test is passed over.
+    """
+    started: set[str] = set()
+    failed: set[str] = set()
+    skipped: set[str] = set()
+    for finished in ended:
+        started.update(finished.report['seconds_by_test'])
+        failed.update(finished.report['failed'])
+        skipped.update(finished.report['skipped'])
+    for test in sorted(entries_by_test.keys() & started):
+        entry = entries_by_test[test]
+        verdict = 'failed' if test in failed else 'passed; the entry may go'
+        _say(f'known red: {test}: {verdict} (issue {entry.issue})')
+    surprising = failed - entries_by_test.keys()
+    for test in sorted(surprising):
+        _say(f'failed: {test}')
+    _say(f'{len(started - failed - skipped)} passed, {len(surprising)} failed')
+    return int(bool(surprising) or not started)
 
 
 def main() -> int:
     """Run the tests and print a closing line that counts them."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--promises', action='store_true')
-    suite = _load(parser.parse_args().promises)
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = _failed_ids(result)
-    expected = failed & known_red()
-    for test_id in sorted(expected):
-        sys.stdout.write(f'known red: {test_id}\n')
-    surprising = failed - expected
-    passed = result.testsRun - len(failed) - len(result.skipped)
-    sys.stdout.write(f'{passed} passed, {len(surprising)} failed\n')
-    return int(bool(surprising) or not result.testsRun)
+    parser.add_argument('--jobs', type=int, default=JOBS)
+    options = parser.parse_args()
+    all_tests = list_tests()
+    try:
+        entries_by_test = knownred.read(ROOT / 'KNOWN-RED.txt')
+    except knownred.FormatError as error:
+        _say(f'error: {error}')
+        return 1
+    for test in knownred.missing(entries_by_test, all_tests):
+        _say(f'error: KNOWN-RED.txt lists {test}, which does not exist')
+        return 1
+    units = divide(_select(all_tests, promises_only=options.promises))
+    return judge(_run_all(units, options.jobs), entries_by_test)
 
 
 if __name__ == '__main__':
