Refuse a body that is announced too large at once

Cause: the size of a body was checked only as it arrived. A request that announced 99,999,999 bytes and sent none waited for the body timeout of 10 s and was told 408 request_timeout, which says nothing of its size.

Ruled out: the flood is no fault; after a refusal the entry reads on for 0.5 s, so that the caller sees the response, and its memory stays.

--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -192,10 +192,7 @@
             if not isinstance(event, h11.Data):
                 raise errors.BadRequest('the body ended early')
             body += event.data
-            if len(body) > MAX_BODY_BYTES:
-                raise errors.BodyTooLarge(
-                    f'the body is over {MAX_BODY_BYTES} bytes'
-                )
+            _check_body_size(len(body))
 
     async def _next_event(self) -> Any:
         while True:
@@ -304,3 +301,10 @@
     )
     if size > MAX_HEAD_BYTES:
         raise errors.HeadTooLarge(f'the head is over {MAX_HEAD_BYTES} bytes')
+    # h11 has checked that the length is a number.
+    _check_body_size(int(dict(head.headers).get(b'content-length', b'0')))
+
+
+def _check_body_size(size: int) -> None:
+    if size > MAX_BODY_BYTES:
+        raise errors.BodyTooLarge(f'the body is over {MAX_BODY_BYTES} bytes')
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -109,6 +109,12 @@
         answer = self.answer_to(head.encode() + b'a' * size)
         self.assert_refused(answer, 413, 'body_too_large')
 
+    def test_announced_oversized_body(self):
+        """Guards against a wait for a body that will be refused."""
+        head = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n'
+        answer = self.answer_to(head + b'\r\n')
+        self.assert_refused(answer, 413, 'body_too_large')
+
     def test_oversized_chunked_body(self):
         """Guards against a bound that only looks at content-length."""
         head = b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n'
