Write the log of the daemons to standard output

Cause: the lines went to standard error, where a collector of a program's output does not look for them.

Change: standard output is the default stream.

--- a/cardamomflow/journal.py
+++ b/cardamomflow/journal.py
@@ -1,4 +1,4 @@
-"""Structured log: one JSON object a line on standard error.
+"""Structured log: one JSON object a line on standard output.
 
 Lines are written for changes of state only; everything that happens often
 is a counter, see `telemetry`.
@@ -43,10 +43,10 @@
     level : str
         Name of the lowest level that is written.
     stream : file object, optional
-        Standard error by default.
+        Standard output by default.
     """
     handler = logbook.StreamHandler(
-        stream or sys.stderr, level=LEVELS_BY_NAME[level]
+        stream or sys.stdout, level=LEVELS_BY_NAME[level]
     )
     handler.formatter = _format
     handler.push_application()
