Confine what knows the platform to cardamomflow/platform/

Change: one folder with the abstract base class and its types (the package), httpclient and channel. Renamed, not rewritten; callers use the same names.

--- a/cardamomflow/commands.py
+++ b/cardamomflow/commands.py
@@ -24,7 +24,6 @@
     exits,
     explaining,
     fleet,
-    httpplatform,
     importing,
     options,
     platform,
@@ -32,6 +31,7 @@
     publishing,
     settings,
 )
+from cardamomflow.platform import httpclient
 
 _PUBLISH_ID_BYTES = 8
 _IN_FORCE_BOUND_S = 5
@@ -374,7 +374,7 @@
     work: Callable[..., Awaitable[Any]],
     arguments: Sequence[Any],
 ) -> Any:
-    store = httpplatform.from_settings(found['platform'])
+    store = httpclient.from_settings(found['platform'])
     try:
         return await work(store, *arguments)
     except errors.PlatformUnavailable as error:
--- a/cardamomflow/core.py
+++ b/cardamomflow/core.py
@@ -19,18 +19,18 @@
     daemons,
     errors,
     exits,
-    httpplatform,
     ledger,
     load,
     settings,
 )
+from cardamomflow.platform import httpclient
 
 _INCARNATION_BITS = 32
 
 
 def _start_agent(document: Any) -> exits.ExitStatus:
     around = context.create(document)
-    store = httpplatform.from_settings(document['platform'])
+    store = httpclient.from_settings(document['platform'])
     return curio.run(agent.run, document, around, store)
 
 
@@ -44,7 +44,7 @@
     claimant = f'{document["process_id"]}/{incarnation:08x}'
     options = ledger.Options(**document.get('store_calls', {}))
     claims = ledger.Ledger(claimant, options, around.random)
-    store = httpplatform.from_settings(document['platform'])
+    store = httpclient.from_settings(document['platform'])
     return curio.run(daemons.run_aggregator, around, store, claims)
 
 
--- a/cardamomflow/platform.py
+++ b/cardamomflow/platform/__init__.py
@@ -1,7 +1,8 @@
 """Interface of the platform's key-value service and host list.
 
-Owns the types that callers see. It opens no connection; the HTTP adapter is
-`httpplatform`.
+Owns the types that callers see. It opens no connection; the client of the
+HTTP protocol is `httpclient`, the only one of the project. Nothing outside
+of this folder knows the platform's paths and documents.
 """
 
 import abc
--- a/cardamomflow/httpplatform.py
+++ b/cardamomflow/platform/httpclient.py
@@ -1,7 +1,7 @@
 """The platform over HTTP/1.1, see `docs/design.md`, 7.
 
 Owns the paths and documents of the protocol. Holds no value: what it returns
-is what the platform said. Connections are those of `platformchannel`.
+is what the platform said. Connections are those of `channel`.
 """
 
 import base64
@@ -10,7 +10,8 @@
 import urllib.parse
 from typing import Any
 
-from cardamomflow import errors, platform, platformchannel, webclient
+from cardamomflow import errors, platform, webclient
+from cardamomflow.platform import channel
 
 DEFAULT_TIMEOUT_MS = 1000
 DEFAULT_TIMEOUT_S = 1.0
@@ -37,7 +38,7 @@
             Bound on each call, including the wait for a connection; a watch
             may take its own waiting time in addition.
         """
-        self._channel = platformchannel.Channel(address, port, timeout_s)
+        self._channel = channel.Channel(address, port, timeout_s)
 
     async def close(self) -> None:
         """Close all idle connections."""
@@ -125,7 +126,7 @@
 
 
 def from_settings(document: Any) -> HttpPlatform:
-    """Return the adapter for the `platform` part of a settings file."""
+    """Return the client for the `platform` part of a settings file."""
     timeout_s = document.get('timeout_ms', DEFAULT_TIMEOUT_MS) / 1000
     return HttpPlatform(document['address'], document['port'], timeout_s)
 
@@ -137,15 +138,13 @@
 def _parse_entry(document: dict[str, Any]) -> platform.Entry:
     try:
         stored = base64.b64decode(
-            platformchannel.field(document, 'value', str), validate=True
+            channel.field(document, 'value', str), validate=True
         )
     except binascii.Error as error:
         raise errors.ProtocolViolation(
             f'the platform sent a value that is not base64: {error}'
         ) from error
-    return platform.Entry(
-        stored, platformchannel.field(document, 'revision', int)
-    )
+    return platform.Entry(stored, channel.field(document, 'revision', int))
 
 
 def _parse_present(document: dict[str, Any]) -> platform.Entry | None:
@@ -159,11 +158,11 @@
     return [
         platform.HostState(
             *(
-                platformchannel.field(host, name, str)
+                channel.field(host, name, str)
                 for name in platform.HostState._fields
             )
         )
-        for host in platformchannel.field(document, 'hosts', list)
+        for host in channel.field(document, 'hosts', list)
     ]
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,13 +9,12 @@
 
 from cardamomflow import (
     errors,
-    httpplatform,
     platform,
-    platformchannel,
     serverconnection,
     webclient,
     webserver,
 )
+from cardamomflow.platform import channel, httpclient
 from standins import fakes
 from standins import platform as standin
 from standins import store as store_module
@@ -46,7 +45,7 @@
             serving = curio.TaskGroup(wait=None)
             await serving.spawn(server.serve)
             self.port = server.port
-            adapter = httpplatform.HttpPlatform(
+            adapter = httpclient.HttpPlatform(
                 '127.0.0.1', server.port, timeout_s
             )
             async with serving, _closing(adapter):
@@ -178,7 +177,7 @@
 
         async def scenario(adapter):
             self.store.faults.outage = store_module.Outage.DROP
-            for _ in range(platformchannel.MAX_CALLS_IN_FLIGHT + 1):
+            for _ in range(channel.MAX_CALLS_IN_FLIGHT + 1):
                 with self.assertRaises(errors.PlatformUnavailable):
                     await adapter.read(KEY)
             self.store.faults.outage = store_module.Outage.NONE
@@ -190,9 +189,7 @@
         """Guards against "unknown" for a request that was never sent."""
         with socket.socket() as unused:
             unused.bind(('127.0.0.1', 0))
-            adapter = httpplatform.HttpPlatform(
-                *unused.getsockname(), TIMEOUT_S
-            )
+            adapter = httpclient.HttpPlatform(*unused.getsockname(), TIMEOUT_S)
             with self.assertRaises(errors.PlatformUnavailable):
                 curio.run(adapter.compare_and_swap, KEY, b'a', 0)
 
@@ -216,7 +213,7 @@
         """Guards against "unknown" for a change that stayed in the queue."""
 
         async def scenario(adapter):
-            for _ in range(platformchannel.MAX_CALLS_IN_FLIGHT):
+            for _ in range(channel.MAX_CALLS_IN_FLIGHT):
                 await adapter._channel._calls.acquire()
             with self.assertRaises(errors.PlatformUnavailable):
                 await adapter.compare_and_swap(KEY, b'a', 0)
@@ -289,7 +286,7 @@
                     await client.sendall(b'HTTP/1.1 204 No Content\r\n\r\n')
 
             await curio.spawn(serve, daemon=True)
-            adapter = httpplatform.HttpPlatform(
+            adapter = httpclient.HttpPlatform(
                 *listener.getsockname(), TIMEOUT_S
             )
             async with listener:
