Queue repeated items first in the policy model too

The model queues with the product's RankQueue and differed from the aggregator since offer_again exists.

--- a/bench/senders.py
+++ b/bench/senders.py
@@ -161,8 +161,11 @@
         self._pump(item.service)
 
     def _offer(self, item: service_model.Item) -> None:
+        self._queues[item.service].offer(*self._queued(item))
+
+    def _queued(self, item: service_model.Item) -> admission.Queued:
         query = item.query
-        self._queues[item.service].offer(
+        return admission.Queued(
             item, query.rank, query.customer, query.deadline, self.clock.now
         )
 
@@ -291,7 +294,7 @@
         if item.closed:
             return
         try:
-            self._offer(item)
+            self._queues[item.service].offer_again(self._queued(item))
         except errors.FlowError as refusal:
             self.close(item, False, refusal.code)
             return
