Print the end of the logs of a failed unit's fleets

Cause: a failure in a clean clone left no logs, since the folder of a fleet is removed with it, and its cause could only be found by making it happen again.

Change: a fleet keeps its logs in the folder that CARDAMOMFLOW_KEPT_LOGS names; the suite sets it and prints the last 30 lines of each log of a unit that failed.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -28,6 +29,8 @@
 REGION = 'loopback'
 # Place of the platform in the network.
 PLATFORM = 'platform'
+# Environment variable that names a folder in which the logs of fleets are kept.
+KEPT_LOGS = 'CARDAMOMFLOW_KEPT_LOGS'
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 _POLL_S = 0.05
@@ -531,3 +534,14 @@
             yield fleet
         finally:
             fleet.close()
+            _keep_logs(fleet.folder)
+
+
+def _keep_logs(folder: pathlib.Path) -> None:
+    kept_in = os.environ.get(KEPT_LOGS)
+    if kept_in is None:
+        return
+    kept = pathlib.Path(kept_in) / folder.name
+    kept.mkdir(parents=True)
+    for log in folder.glob('*.log'):
+        shutil.copy(log, kept)
--- a/tests/test_suite.py
+++ b/tests/test_suite.py
@@ -10,6 +10,7 @@
 
 LISTED = 'tests.test_a.ATest.test_listed'
 OTHER = 'tests.test_a.ATest.test_other'
+LOGGED = ['line'] * suite.LOG_LINES
 LINE = f'{LISTED} | make test | a refusal | 4'
 
 
@@ -110,3 +111,13 @@
         unit = suite.Unit('missing', (missing,))
         ended = suite.run(unit)
         self.assertTrue(ended.report['failed'])
+
+    def test_end_of_each_log_is_told(self):
+        """Guards against a failure whose logs are gone with its fleet."""
+        with tempfile.TemporaryDirectory() as folder:
+            log = pathlib.Path(folder) / 'fleet-1' / 'entry-zone-a.log'
+            log.parent.mkdir()
+            log.write_text('\n'.join(['first', *LOGGED, 'last']))
+            told = suite.last_lines(pathlib.Path(folder))
+        self.assertIn('fleet-1/entry-zone-a.log: last', told)
+        self.assertNotIn('first', told)
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -21,6 +21,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from standins import fleet
 from tools import knownred, testunit
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -34,6 +35,8 @@
 # Every test is bounded by `testunit`; this ends a unit that hangs outside of
 # its tests, and is more than the longest unit took (180 s) beside load.
 UNIT_LIMIT_S = 420.0
+# A process of a fleet writes a line for each change of state.
+LOG_LINES = 30
 _PROOF = re.compile(r'`(tests\.[A-Za-z0-9_.]+)`')
 _WORKER_MODULE = 'tools.testunit'
 
@@ -141,7 +144,8 @@
     started_at = time.monotonic()
     with tempfile.TemporaryDirectory(prefix='cardamomflow-unit-') as folder:
         result_file = pathlib.Path(folder) / 'result.json'
-        output = _run_worker(unit, result_file)
+        logs = pathlib.Path(folder) / 'logs'
+        output = _run_worker(unit, result_file, logs)
         if result_file.exists():
             report: testunit.Report = json.loads(result_file.read_text())
         else:
@@ -151,14 +155,28 @@
                 failed=list(unit.tests),
                 skipped=[],
             )
+        if report['failed']:
+            output = f'{output}\n{last_lines(logs)}'
     return Finished(unit, report, output, time.monotonic() - started_at)
 
 
-def _run_worker(unit: Unit, result_file: pathlib.Path) -> str:
+def last_lines(logs: pathlib.Path) -> str:
+    """Return the end of each log that the fleets of a unit left."""
+    return '\n'.join(
+        f'{log.relative_to(logs)}: {line}'
+        for log in sorted(logs.glob('*/*.log'))
+        for line in log.read_text().splitlines()[-LOG_LINES:]
+    )
+
+
+def _run_worker(
+    unit: Unit, result_file: pathlib.Path, logs: pathlib.Path
+) -> str:
     """Run a unit in a process group of its own, and end what is left of it."""
     worker = subprocess.Popen(
         [sys.executable, '-m', _WORKER_MODULE, str(result_file), *unit.tests],
         cwd=ROOT,
+        env={**os.environ, fleet.KEPT_LOGS: str(logs)},
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
