--- a/tests/test_suite.py
+++ b/tests/test_suite.py
@@ -10,7 +10,7 @@
 
 LISTED = 'tests.test_a.ATest.test_listed'
 OTHER = 'tests.test_a.ATest.test_other'
-LOGGED = ['line'] * suite.LOG_LINES
+LOGGED = [f'line {number}' for number in range(suite.LOG_LINES)]
 LINE = f'{LISTED} | make test | a refusal | 4'
 
 
