--- a/cardamomflow/workqueue.py
+++ b/cardamomflow/workqueue.py
@@ -109,6 +109,7 @@
             except errors.FlowError as error:
                 refused.append(Refused(queued.item, error))
             queued = before.take(now)
+        refused.extend(_refusal(dropped) for dropped in before.expire(now))
         return refused
 
     def _create(self, source: rules.Rules) -> admission.RankQueue:
