Bound a test of paused processes, and the wait for what a unit leaves

The bound of 180 s ended the test, but the suite waited for the end of the output, which a process left by the test held open, up to 420 s.

Change: the detector starts before the line is printed; lines are waited for 30 s at most, and the peer tells the port it got in place of one that was chosen and given back. The suite writes the output of a unit to a file and waits for its process alone, then ends its process group.

Ruled out: a fault of the links; all other tests of the module passed, and the process under test was waiting for its own detector.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,6 +4,7 @@
 # flake8: noqa: WPS336, WPS220, WPS421
 
 import os
+import select
 import signal
 import struct
 import subprocess
@@ -18,11 +19,17 @@
 from cardamomflow.generated import wire_pb2
 from tests import loops
 
-_PAUSED_PEER = """
-import curio, sys
+_PEER = """
+import curio
 from tests import test_links
-curio.run(test_links.serve_echo, int(sys.argv[1]))
+curio.run(test_links.serve_echo)
 """
+_PAUSED = """
+import sys
+from tests import test_links
+test_links.report_link_after_pause(int(sys.argv[1]))
+"""
+LINE_LIMIT_S = 30.0
 
 
 def _ping(nonce=0):
@@ -52,12 +59,13 @@
         return None
 
 
-async def serve_echo(port):
+async def serve_echo():
     """Serve links that answer pings, in a process of its own.
 
     It sends none itself, and so keeps links to a process that is stopped.
     """
-    listener = webserver.listen('127.0.0.1', port)
+    listener = webserver.listen('127.0.0.1', 0)
+    print(listener.getsockname()[1], flush=True)
     while True:
         sock, _ = await listener.accept()
         link = links.Link(sock, wire_pb2.Envelope, _EchoHandler())
@@ -301,11 +309,10 @@
     """Processes that are stopped and continued by signals."""
 
     def setUp(self):
-        listener = webserver.listen('127.0.0.1', 0)
-        self.port = listener.getsockname()[1]
-        listener._socket.close()
+        self.peer = self.start_process(_PEER)
+        self.port = int(self.read_line(self.peer))
 
-    def start_peer(self, code, *arguments):
+    def start_process(self, code, *arguments):
         """Start a process of this test; it is ended with the test."""
         process = subprocess.Popen(  # noqa: S603
             [sys.executable, '-c', code, *arguments],
@@ -316,31 +323,27 @@
         self.addCleanup(process.kill)
         return process
 
-    async def connect(self, handler):
-        """Connect as soon as the process listens."""
-        while True:
-            try:
-                return await links.connect(
-                    '127.0.0.1', self.port, wire_pb2.Envelope, handler
-                )
-            except errors.ConnectFailed:
-                await curio.sleep(0.02)
+    def read_line(self, process):
+        """Return the next line that a process prints, within a time."""
+        ready, _, _ = select.select([process.stdout], [], [], LINE_LIMIT_S)
+        self.assertTrue(ready, f'no line within {LINE_LIMIT_S:g} s')
+        return process.stdout.readline().decode().strip()
 
     def test_stopped_peer_is_found(self):
         """Guards against a stopped process that looks alive."""
-        process = self.start_peer(_PAUSED_PEER, str(self.port))
 
         async def scenario():
-            handler = _Handler()
-            link = await self.connect(handler)
+            link = await links.connect(
+                '127.0.0.1', self.port, wire_pb2.Envelope, _Handler()
+            )
             running = await curio.spawn(link.run)
             await link.post(_ping(1))
             await curio.sleep(0.1)
-            os.kill(process.pid, signal.SIGSTOP)
+            os.kill(self.peer.pid, signal.SIGSTOP)
             started_at = time.monotonic()
             await running.join()
             duration_s = time.monotonic() - started_at
-            os.kill(process.pid, signal.SIGCONT)
+            os.kill(self.peer.pid, signal.SIGCONT)
             return duration_s
 
         duration_s = loops.run(scenario)
@@ -352,30 +355,25 @@
         The process under test holds a link to a live peer and is stopped
         for longer than the silence limit.
         """
-        self.start_peer(_PAUSED_PEER, str(self.port))
-        code = (
-            'from tests import test_links\n'
-            'test_links.report_link_after_pause(%d)' % self.port
-        )
-        paused = self.start_peer(code)
-        self.assertEqual(paused.stdout.readline(), b'connected\n')
+        paused = self.start_process(_PAUSED, str(self.port))
+        self.assertEqual(self.read_line(paused), 'connected')
         os.kill(paused.pid, signal.SIGSTOP)
         time.sleep(liveness.SILENCE_LIMIT_S + 0.7)
         os.kill(paused.pid, signal.SIGCONT)
-        self.assertEqual(paused.stdout.readline(), b'open=True pongs=True\n')
+        self.assertEqual(self.read_line(paused), 'open=True pongs=True')
 
 
 def report_link_after_pause(port):
     """Hold a link, and print its state 1.5 s after a pause."""
-    test = PausedProcessTest()
-    test.port = port
 
     async def scenario():
-        handler = _Handler()
-        link = await test.connect(handler)
+        link = await links.connect(
+            '127.0.0.1', port, wire_pb2.Envelope, _Handler()
+        )
         await curio.spawn(link.run, daemon=True)
-        print('connected', flush=True)
+        # The pause may begin as soon as the line is out.
         detector = liveness.PauseDetector(time.monotonic(), 2.0)
+        print('connected', flush=True)
         while not detector.check(time.monotonic()):
             await curio.sleep(0.05)
         heard_at = link._timer._heard_at
--- a/tests/test_suite.py
+++ b/tests/test_suite.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 
+from tests import leftover_process
 from tools import knownred, suite, testunit
 
 LISTED = 'tests.test_a.ATest.test_listed'
@@ -112,6 +113,13 @@
         ended = suite.run(unit)
         self.assertTrue(ended.report['failed'])
 
+    def test_process_left_behind_holds_up_nothing(self):
+        """Guards against a unit that waits for what its tests left."""
+        test = 'tests.leftover_process.LeftoverTest.test_leaves_a_process'
+        ended = suite.run(suite.Unit('leftover', (test,)))
+        self.assertEqual(ended.report['failed'], [])
+        self.assertLess(ended.seconds, leftover_process.LIFETIME_S / 2)
+
     def test_end_of_each_log_is_told(self):
         """Guards against a failure whose logs are gone with its fleet."""
         with tempfile.TemporaryDirectory() as folder:
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -19,7 +19,7 @@
 import time
 import unittest
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import IO, NamedTuple
 
 from standins import fleet
 from tools import knownred, testunit
@@ -145,7 +145,8 @@
     with tempfile.TemporaryDirectory(prefix='cardamomflow-unit-') as folder:
         result_file = pathlib.Path(folder) / 'result.json'
         logs = pathlib.Path(folder) / 'logs'
-        output = _run_worker(unit, result_file, logs)
+        output_file = pathlib.Path(folder) / 'output.txt'
+        output = _run_worker(unit, output_file, result_file, logs)
         if result_file.exists():
             report: testunit.Report = json.loads(result_file.read_text())
         else:
@@ -170,27 +171,45 @@
 
 
 def _run_worker(
-    unit: Unit, result_file: pathlib.Path, logs: pathlib.Path
+    unit: Unit,
+    output_file: pathlib.Path,
+    result_file: pathlib.Path,
+    logs: pathlib.Path,
 ) -> str:
-    """Run a unit in a process group of its own, and end what is left of it."""
+    """Run a unit in a process group of its own, and end what is left of it.
+
+    The output goes to a file: a pipe would stay open, and be waited for, as
+    long as a process lives that the unit left behind.
+    """
+    with output_file.open('w') as output:
+        in_time = _wait_for_worker(unit, output, result_file, logs)
+    text = output_file.read_text()
+    if in_time:
+        return text
+    return f'{text}\n{unit.name} took longer than {UNIT_LIMIT_S:g} s\n'
+
+
+def _wait_for_worker(
+    unit: Unit, output: IO[str], result_file: pathlib.Path, logs: pathlib.Path
+) -> bool:
+    """Return whether the process of a unit ended in time."""
     worker = subprocess.Popen(
         [sys.executable, '-m', _WORKER_MODULE, str(result_file), *unit.tests],
         cwd=ROOT,
         env={**os.environ, fleet.KEPT_LOGS: str(logs)},
         stdin=subprocess.DEVNULL,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-        text=True,
+        stdout=output,
+        stderr=output,
         start_new_session=True,
     )
     try:
-        return worker.communicate(timeout=UNIT_LIMIT_S)[0]
+        worker.wait(UNIT_LIMIT_S)
     except subprocess.TimeoutExpired:
-        os.killpg(worker.pid, signal.SIGKILL)
-        output = worker.communicate()[0]
-        return f'{output}\n{unit.name} took longer than {UNIT_LIMIT_S:g} s\n'
+        return False
     finally:
         _end_group(worker.pid)
+        worker.wait()
+    return True
 
 
 def _end_group(group: int) -> None:
