Say four things once in the queue and the suite

Checked: a scratch module with a failed setUpClass, failed subtests and an unexpected success gives the same report before and after; the same 284 proofs are chosen for make promises.

--- a/cardamomflow/workqueue.py
+++ b/cardamomflow/workqueue.py
@@ -40,10 +40,7 @@
         errors.Overloaded, errors.DeadlineUnreachable
             The item can't be served in time; nothing was sent.
         """
-        job = item.job
-        self._queue.offer(
-            item, job.rank, job.request.customer, job.deadline, self._clock()
-        )
+        self._queue.offer(*self._queued(item))
 
     def offer_again(self, item: queries.QueryItem) -> None:
         """Add an item whose attempt failed, ahead of those that wait.
@@ -53,16 +50,7 @@
         errors.Overloaded, errors.DeadlineUnreachable
             The item can't be served in time any more.
         """
-        job = item.job
-        self._queue.offer_again(
-            admission.Queued(
-                item,
-                job.rank,
-                job.request.customer,
-                job.deadline,
-                self._clock(),
-            )
-        )
+        self._queue.offer_again(self._queued(item))
 
     def offer_ticket(
         self,
@@ -112,6 +100,12 @@
         refused.extend(_refusal(dropped) for dropped in before.expire(now))
         return refused
 
+    def _queued(self, item: queries.QueryItem) -> admission.Queued:
+        job = item.job
+        return admission.Queued(
+            item, job.rank, job.request.customer, job.deadline, self._clock()
+        )
+
     def _create(self, source: rules.Rules) -> admission.RankQueue:
         shares_by_rank = {
             rank: rule.minimum_share
--- a/tools/knownred.py
+++ b/tools/knownred.py
@@ -1,7 +1,7 @@
 """Tests that may fail because of a listed fault that is not fixed yet.
 
 Owns the format of `KNOWN-RED.txt`: one entry a line, its fields separated by
-` | `: dotted test, command with seed, what was seen, issue. Lines that start
+`|`: dotted test, command with seed, what was seen, issue. Lines that start
 with `#` are comments.
 """
 
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -98,11 +98,10 @@
     if not promises_only:
         return all_tests
     chosen = promised_tests()
-    prefixes = tuple(f'{name}.' for name in chosen)
     found = [
         test
         for test in all_tests
-        if test in chosen or test.startswith(prefixes)
+        if any(_covers(name, test) for name in chosen)
     ]
     # A name that matches nothing fails in its unit, where it can't be loaded.
     unmatched = [
--- a/tools/testunit.py
+++ b/tools/testunit.py
@@ -58,23 +58,17 @@
 
 
 def _base_id(test: unittest.TestCase) -> str:
-    """Return the id of a test, without the part of a subtest."""
-    return test.id().split(' ')[0]
+    """Return the id of a test, without the part of a subtest.
 
-
-def _fixture_id(test: unittest.TestCase) -> str:
-    """Return an id that names the class of a failed fixture as well."""
-    return test.id() if isinstance(test, unittest.TestCase) else str(test)
+    That of a failed fixture is kept whole, since it ends with its class.
+    """
+    is_test = isinstance(test, unittest.TestCase)
+    return test.id().split(' ')[0] if is_test else test.id()
 
 
 def _report(result: _BoundedResult) -> Report:
     problems = [*result.failures, *result.errors]
-    failed = {
-        _base_id(test)
-        if _base_id(test) in result.seconds_by_test
-        else _fixture_id(test)
-        for test, _ in problems
-    }
+    failed = {_base_id(test) for test, _ in problems}
     failed.update(_base_id(test) for test in result.unexpectedSuccesses)
     return Report(
         seconds_by_test=result.seconds_by_test,
