--- a/cardamomflow/core.py
+++ b/cardamomflow/core.py
@@ -14,6 +14,7 @@
 import cardamomflow
 from cardamomflow import (
     agent,
+    authorities,
     commands,
     context,
     daemons,
@@ -23,7 +24,7 @@
     load,
     settings,
 )
-from cardamomflow.platform import httpclient
+from cardamomflow.platform import httpclient, kvstore
 
 _INCARNATION_BITS = 32
 
@@ -48,16 +49,25 @@
     return curio.run(daemons.run_aggregator, around, store, claims)
 
 
+def _start_host(document: Any) -> exits.ExitStatus:
+    around = context.create(document)
+    address, port = authorities.split(document['store'])
+    store = kvstore.KvStore(address, port)
+    return curio.run(daemons.run_host, around, store)
+
+
 _STARTERS_BY_PROGRAM: dict[str, Callable[[Any], exits.ExitStatus]] = {
     'agent': _start_agent,
     'entry': _start_entry,
     'aggregator': _start_aggregator,
+    'host': _start_host,
 }
 
 _SUMMARIES_BY_PROGRAM = {
     'agent': 'Run the agent of a host: membership and configuration.',
     'entry': 'Run an entry process: it answers callers over HTTP.',
     'aggregator': 'Run an aggregator: it owns backend connections.',
+    'host': 'Run the whole tier in one process, on a platform of users.',
 }
 
 
@@ -160,6 +170,11 @@
     sys.exit(main(('aggregator', *sys.argv[1:])))
 
 
+def run_host() -> None:
+    """Run the host program."""
+    sys.exit(main(('host', *sys.argv[1:])))
+
+
 def run_load() -> None:
     """Run the load tool."""
     sys.exit(main(('load', *sys.argv[1:])))
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -7,20 +7,29 @@
 
 from cardamomflow import (
     aggregator,
+    authorities,
     context,
     entry,
     exits,
+    following,
+    hosting,
     links,
     localview,
     operations,
     shutdown,
+    sources,
     telemetry,
     webserver,
 )
 from cardamomflow.generated import wire_pb2
+from cardamomflow.platform import front
 
 DEFAULT_DRAIN_DELAY_S = 0.5
 DEFAULT_DRAIN_TIMEOUT_S = 35.0
+DEFAULT_STOP_WITHIN_S = 6.0
+HOST_DRAIN_DELAY_S = 2.5
+# Kept back from the time until the platform kills the process.
+STOP_MARGIN_S = 0.5
 _ACCEPT_RETRY_S = 0.05
 _MS = 1000
 
@@ -123,6 +132,44 @@
     return _end(around, clean=clean and healthy)
 
 
+async def run_host(
+    around: context.Context, store: sources.Source
+) -> exits.ExitStatus:
+    """Run a host process until it is told to stop."""
+    settings = around.settings
+    program = hosting.Host(around)
+    server = webserver.WebServer(
+        *authorities.split(settings['callers']), front.Front(program)
+    )
+    readiness = webserver.WebServer(
+        *authorities.split(settings['readiness']), front.Readiness(program)
+    )
+    program.bounds_changed = functools.partial(setattr, server, 'bounds')
+    follower = following.Follower(store, program.directory, program, around)
+    supervisor = shutdown.Supervisor(around.journal)
+    await supervisor.start(
+        server.serve,
+        readiness.serve,
+        program.transport.sweep,
+        follower.follow_routes,
+        follower.follow_backends,
+        follower.expire_backends,
+        functools.partial(follower.announce, settings['host']['id']),
+    )
+    around.journal.info('started', port=server.port)
+    healthy = await supervisor.wait()
+    around.journal.info('stopping')
+    program.stopping = True
+    server.announce_stop()
+    # The platform takes two refusals, a second apart, to send callers away.
+    await curio.sleep(HOST_DRAIN_DELAY_S)
+    stop_within_s = settings.get('stop_within_s', DEFAULT_STOP_WITHIN_S)
+    clean = await server.wait_idle(
+        max(0, stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S)
+    )
+    return _end(around, clean=clean and healthy)
+
+
 def _advertised(settings: Any, port: int) -> tuple[str, int]:
     """Return where others reach a process that listens on a port."""
     listening = {'address': settings['listen']['address'], 'port': port}
--- /dev/null
+++ b/cardamomflow/dispatching.py
@@ -0,0 +1,347 @@
+"""Choice of backend servers for the parts of requests; sans-I/O.
+
+Owns the attempts in flight at each backend server, the requests that wait
+for a free one, hedges and repeats. It tells the transport what to send by
+`take_sends`; it opens no connection and reads no clock.
+"""
+
+import heapq
+import itertools
+import random as random_module
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from cardamomflow import (
+    directory,
+    extraload,
+    gathering,
+    hedging,
+    limits,
+    replicas,
+    routes,
+    rules,
+)
+
+# A hedge later than this share of the target would answer after it.
+LATEST_HEDGE_SHARE = 0.3
+MINIMUM_HEDGE_DELAY_S = 0.008
+# Time without new connections to a backend server that refused one.
+UNREACHABLE_S = 0.5
+# A backend server that does not answer for this many targets is not hedged
+# again but left to the deadline.
+_MS_PER_S = 1000
+
+
+class Sharing(NamedTuple):
+    """What all hosts share.
+
+    Attributes
+    ----------
+    hosts : int
+        Hosts that are known, with this one.
+    extra_share : float
+        Further attempts for each first one at a service.
+    extra_burst : float
+        Further attempts of all hosts in a window, beside the share.
+    """
+
+    hosts: int
+    extra_share: float
+    extra_burst: float
+
+
+class _Waiting(NamedTuple):
+    rank: rules.Rank
+    sequence: int
+    leg: gathering.Leg
+
+
+class Dispatcher:
+    """Attempts of one host."""
+
+    def __init__(
+        self, listed: directory.Directory, random: random_module.Random
+    ) -> None:
+        """Take the backend servers to choose from."""
+        self._directory = listed
+        self._chooser = replicas.ReplicaChooser(random)
+        # Extra load is bounded for each service; this one only learns when.
+        self._hedges = hedging.HedgePolicy(
+            rules.Hedging(
+                minimum_delay_ms=int(MINIMUM_HEDGE_DELAY_S * _MS_PER_S),
+                extra_load_share=0,
+            )
+        )
+        self._sharing = Sharing(1, 0, 0)
+        self._table: routes.RouteTable | None = None
+        self._in_flight_by_id: dict[str, int] = {}
+        self._unreachable_until: dict[str, float] = {}
+        self._extra_by_service: dict[str, extraload.ExtraLoad] = {}
+        self._waiting_by_service: dict[str, list[_Waiting]] = {}
+        self._sequence = itertools.count()
+        self._sends: list[gathering.Attempt] = []
+
+    def apply(self, table: routes.RouteTable) -> None:
+        """Take the routes of a new revision."""
+        self._table = table
+        services = table.services()
+        for service in self._extra_by_service.keys() - services:
+            self._extra_by_service.pop(service)
+
+    def share(self, sharing: Sharing) -> None:
+        """Take a changed number of hosts."""
+        if sharing != self._sharing:
+            self._sharing = sharing
+            self._extra_by_service.clear()
+
+    def take_sends(self) -> list[gathering.Attempt]:
+        """Return the attempts to send since the last call."""
+        sends, self._sends = self._sends, []
+        return sends
+
+    def in_flight(self, backend_id: str) -> int:
+        """Return the attempts that hold a connection."""
+        return self._in_flight_by_id.get(backend_id, 0)
+
+    # What callers ask.
+
+    def start(self, work: gathering.Work, now: float) -> None:
+        """Ask one backend server of each service."""
+        for leg in work.legs:
+            self._extra(leg.service).first_sent()
+            self._place(leg, now)
+
+    def tick(self, work: gathering.Work, now: float) -> float:
+        """Hedge what is overdue; return when to look again."""
+        next_at = work.deadline
+        if now < work.answer_at:
+            next_at = min(next_at, work.answer_at)
+        delay_s = self._hedge_delay_s(work.route)
+        for leg in work.open_legs():
+            if len(leg.open_attempts) != 1 or not _may_hedge(leg):
+                continue
+            due_at = leg.open_attempts[0].started_at + delay_s
+            if due_at > now:
+                next_at = min(next_at, due_at)
+            else:
+                self._hedge(leg, now)
+        return next_at
+
+    def end(self, work: gathering.Work) -> list[gathering.Attempt]:
+        """Return the attempts of an ended request that are still open."""
+        return [attempt for leg in work.legs for attempt in leg.open_attempts]
+
+    # What backend servers answer.
+
+    def answered(
+        self, attempt: gathering.Attempt, reply: gathering.Reply, now: float
+    ) -> None:
+        """Take a whole answer."""
+        leg = attempt.leg
+        self._settle(attempt, _outcome_of(reply), now)
+        if reply.load is not None:
+            self._chooser.report(attempt.backend_id, *reply.load, 0, now)
+        if reply.misdirected:
+            self._directory.misdirected(attempt.backend_id)
+        if not reply.not_run:
+            leg.may_have_run = True
+        if not leg.is_settled:
+            self._take(leg, reply, now)
+        self._pump(leg.service, now)
+
+    def failed(
+        self,
+        attempt: gathering.Attempt,
+        outcome: limits.CallOutcome,
+        now: float,
+    ) -> None:
+        """Take the end of an attempt without a whole answer."""
+        leg = attempt.leg
+        self._settle(attempt, outcome, now)
+        if outcome is limits.CallOutcome.REFUSED_CONNECTION:
+            until = now + UNREACHABLE_S
+            self._unreachable_until[attempt.backend_id] = until
+            leg.asked.remove(attempt.backend_id)
+            leg.avoided.add(attempt.backend_id)
+            if not leg.is_settled:
+                self._place(leg, now)
+        else:
+            leg.may_have_run = True
+            if not leg.is_settled:
+                self._repeat(leg, outcome.name.lower(), now)
+        self._pump(leg.service, now)
+
+    def cancelled(self, attempt: gathering.Attempt, now: float) -> None:
+        """Take the end of an attempt that nobody waits for."""
+        attempt.leg.may_have_run = True
+        self._settle(attempt, limits.CallOutcome.CANCELLED, now)
+        self._pump(attempt.leg.service, now)
+
+    def changed(self, changes: Iterable[directory.Change], now: float) -> None:
+        """Take changes of the list of backend servers."""
+        for change in changes:
+            if not change.usable and not self.in_flight(change.backend_id):
+                self._chooser.forget(change.backend_id)
+                self._unreachable_until.pop(change.backend_id, None)
+            self._pump(change.service, now)
+
+    def _take(
+        self, leg: gathering.Leg, reply: gathering.Reply, now: float
+    ) -> None:
+        if reply.succeeded:
+            leg.work.accept(leg, reply)
+        elif reply.not_run:
+            self._repeat(leg, 'refused', now)
+        else:
+            leg.failure = reply
+            self._repeat(leg, f'status_{reply.status}', now)
+
+    def _settle(
+        self,
+        attempt: gathering.Attempt,
+        outcome: limits.CallOutcome,
+        now: float,
+    ) -> None:
+        backend_id = attempt.backend_id
+        attempt.leg.open_attempts.remove(attempt)
+        self._in_flight_by_id[backend_id] -= 1
+        latency_s = now - attempt.started_at
+        self._chooser.observe(backend_id, outcome, latency_s, now)
+        if outcome is limits.CallOutcome.SUCCESS:
+            self._hedges.observe(attempt.leg.work.route.name, latency_s)
+
+    # Where attempts go.
+
+    def _place(self, leg: gathering.Leg, now: float) -> None:
+        """Send a leg to a backend server, or let it wait for a free one."""
+        candidates = self._candidates(leg, now)
+        if not candidates:
+            if not leg.open_attempts:
+                leg.work.give_up(leg, 'no_backend_server')
+            return
+        if not self._send(leg, candidates, now, extra=bool(leg.asked)):
+            self._wait(leg)
+
+    def _repeat(self, leg: gathering.Leg, reason: str, now: float) -> None:
+        """Ask another backend server after a failure, if that is allowed."""
+        if leg.open_attempts or leg.waiting:
+            return
+        allowed = leg.work.route.repeatable or not leg.may_have_run
+        if allowed and self._may_ask_another(leg):
+            candidates = self._candidates(leg, now)
+            if candidates and self._extra(leg.service).withdraw():
+                if not self._send(leg, candidates, now, extra=True):
+                    self._wait(leg)
+                return
+        leg.work.give_up(leg, reason)
+
+    def _hedge(self, leg: gathering.Leg, now: float) -> None:
+        candidates = self._with_room(leg, self._candidates(leg, now))
+        if candidates and self._extra(leg.service).withdraw():
+            self._send(leg, candidates, now, extra=True)
+
+    def _send(
+        self,
+        leg: gathering.Leg,
+        candidates: Sequence[str],
+        now: float,
+        *,
+        extra: bool,
+    ) -> bool:
+        backend_id = self._chooser.choose(self._with_room(leg, candidates), now)
+        if backend_id is None:
+            return False
+        attempt = gathering.Attempt(leg, backend_id, now, extra=extra)
+        leg.asked.append(backend_id)
+        leg.open_attempts.append(attempt)
+        self._in_flight_by_id[backend_id] = self.in_flight(backend_id) + 1
+        self._chooser.started(backend_id, now)
+        self._sends.append(attempt)
+        return True
+
+    def _candidates(self, leg: gathering.Leg, now: float) -> list[str]:
+        """Return whom a leg may ask, without those known to be away."""
+        if not self._may_ask_another(leg):
+            return []
+        listed = [
+            backend_id
+            for backend_id in self._directory.usable(leg.service)
+            if backend_id not in leg.asked and backend_id not in leg.avoided
+        ]
+        reachable = [
+            backend_id
+            for backend_id in listed
+            if self._unreachable_until.get(backend_id, now) <= now
+        ]
+        return reachable or listed
+
+    def _may_ask_another(self, leg: gathering.Leg) -> bool:
+        return len(leg.asked) < leg.work.route.attempts
+
+    def _with_room(
+        self, leg: gathering.Leg, candidates: Sequence[str]
+    ) -> list[str]:
+        allowance = self.allowance(leg.service)
+        return [
+            backend_id
+            for backend_id in candidates
+            if self.in_flight(backend_id) < allowance
+        ]
+
+    def allowance(self, service: str) -> int:
+        """Return the connections that this host may hold to a server."""
+        if self._table is None:
+            return 1
+        accepted = self._table.connections_by_service.get(service, 1)
+        return max(1, accepted // self._sharing.hosts)
+
+    def _extra(self, service: str) -> extraload.ExtraLoad:
+        budget = self._extra_by_service.get(service)
+        if budget is None:
+            sharing = self._sharing
+            budget = extraload.ExtraLoad(
+                sharing.extra_share, sharing.extra_burst / sharing.hosts
+            )
+            self._extra_by_service[service] = budget
+        return budget
+
+    def _hedge_delay_s(self, route: routes.Route) -> float:
+        latest_s = route.target_s * LATEST_HEDGE_SHARE
+        return min(self._hedges.delay_s(route.name), latest_s)
+
+    # Who waits.
+
+    def _wait(self, leg: gathering.Leg) -> None:
+        leg.waiting = True
+        heapq.heappush(
+            self._waiting_by_service.setdefault(leg.service, []),
+            _Waiting(leg.work.route.rank, next(self._sequence), leg),
+        )
+
+    def _pump(self, service: str, now: float) -> None:
+        """Send legs that wait while backend servers have room."""
+        waiting = self._waiting_by_service.get(service)
+        while waiting:
+            leg = waiting[0].leg
+            if not leg.is_settled:
+                candidates = self._candidates(leg, now)
+                if not candidates and not leg.open_attempts:
+                    leg.work.give_up(leg, 'no_backend_server')
+                elif not self._send(
+                    leg, candidates, now, extra=bool(leg.asked)
+                ):
+                    return
+            heapq.heappop(waiting)
+            leg.waiting = False
+
+
+def _may_hedge(leg: gathering.Leg) -> bool:
+    return leg.work.route.repeatable and not leg.waiting
+
+
+def _outcome_of(reply: gathering.Reply) -> limits.CallOutcome:
+    if reply.succeeded:
+        return limits.CallOutcome.SUCCESS
+    if reply.not_run:
+        return limits.CallOutcome.SHED
+    return limits.CallOutcome.FAILED
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -35,6 +35,8 @@
         What is known about the work of the request.
     exit_status : exits.ExitStatus
         Exit status of a program that ends with this failure.
+    retry_after_s : float or None
+        When the caller should come back; None when that is not known.
     """
 
     code: ClassVar[str] = 'internal'
@@ -42,10 +44,13 @@
     outcome: Outcome = Outcome.UNKNOWN
     exit_status: ClassVar[exits.ExitStatus] = exits.ExitStatus.FAILED
 
-    def __init__(self, message: str) -> None:
+    def __init__(
+        self, message: str, retry_after_s: float | None = None
+    ) -> None:
         """Keep the message shown to callers and operators."""
         super().__init__(message)
         self.message = message
+        self.retry_after_s = retry_after_s
 
 
 class BadRequest(FlowError):
--- /dev/null
+++ b/cardamomflow/extraload.py
@@ -0,0 +1,40 @@
+"""Budget of further attempts at one service; sans-I/O.
+
+Owns the tokens of one host. All hosts share a bound in a sliding window: a
+share of the first attempts and a fixed number. The share needs no agreement,
+since each host earns it from its own requests; the number is divided by the
+hosts that are known.
+"""
+
+# Kept back for requests that were sent but did not arrive, and for a host
+# that has just started and does not know all others.
+SAFETY = 0.8
+
+
+class ExtraLoad:
+    """Tokens of one service."""
+
+    def __init__(self, share: float, burst: float) -> None:
+        """Start full.
+
+        Parameters
+        ----------
+        share : float
+            Further attempts allowed for each first one.
+        burst : float
+            Further attempts of this host in a window, beside the share.
+        """
+        self._share = share * SAFETY
+        self._capacity = max(1.0, burst * SAFETY)
+        self._tokens = self._capacity
+
+    def first_sent(self) -> None:
+        """Earn a share of a token for a first attempt."""
+        self._tokens = min(self._capacity, self._tokens + self._share)
+
+    def withdraw(self) -> bool:
+        """Take the token of one further attempt, if there is one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/cardamomflow/gathering.py
@@ -0,0 +1,237 @@
+"""One request and what each asked service owes it; sans-I/O.
+
+Owns the attempts of a request, the parts that came and the moment at which
+it ends: whole, partial once its target has passed, or failed. Which backend
+server gets an attempt is decided by `dispatching`.
+"""
+
+import enum
+import heapq
+import math
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from cardamomflow import routes
+
+RECORD_BYTES = 16
+# Kept back from the target for the way between this host and the caller, and
+# for writing the answer: 3 ms each way at the slower of the two customers.
+TARGET_RESERVE_S = 0.009
+# Kept back from the caller's deadline for the same.
+DEADLINE_RESERVE_S = 0.02
+MAX_RESERVE_SHARE = 0.25
+
+
+class Load(NamedTuple):
+    """Load that a backend server reports of itself."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Reply(NamedTuple):
+    """A whole answer of a backend server.
+
+    Attributes
+    ----------
+    status : int
+    headers : list of (bytes, bytes)
+        Headers that a caller gets.
+    body : bytes
+    stamp : str or None
+        Signature of the backend server.
+    not_run : bool
+        Whether the backend server says that it did not run the request.
+    misdirected : bool
+        Whether another backend server has the address.
+    load : Load or None
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    stamp: str | None
+    not_run: bool
+    misdirected: bool
+    load: Load | None
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the backend server did what was asked."""
+        return 200 <= self.status < 300  # noqa: WPS432  # the 2xx statuses
+
+
+class Ending(enum.Enum):
+    """How a request ended."""
+
+    ANSWERED = enum.auto()
+    # No attempt can have run.
+    NOT_RUN = enum.auto()
+    # All attempts failed, and at least one may have run.
+    FAILED = enum.auto()
+    LATE = enum.auto()
+
+
+class Leg:
+    """The part of a request that one service owes."""
+
+    __slots__ = (
+        'work',
+        'service',
+        'asked',
+        'avoided',
+        'open_attempts',
+        'reply',
+        'failure',
+        'reason',
+        'may_have_run',
+        'waiting',
+    )
+
+    def __init__(self, work: 'Work', service: str) -> None:
+        self.work = work
+        self.service = service
+        # Backend servers that got the request.
+        self.asked: list[str] = []
+        # Backend servers that could not be reached.
+        self.avoided: set[str] = set()
+        self.open_attempts: list[Attempt] = []
+        self.reply: Reply | None = None
+        # The last answer that is no success.
+        self.failure: Reply | None = None
+        self.reason: str | None = None
+        self.may_have_run = False
+        self.waiting = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no further attempt is of use."""
+        return (
+            self.reply is not None or self.reason is not None or self.work.ended
+        )
+
+
+class Attempt:
+    """A request sent to one backend server."""
+
+    __slots__ = ('leg', 'backend_id', 'started_at', 'extra', 'connection')
+
+    def __init__(
+        self, leg: Leg, backend_id: str, started_at: float, *, extra: bool
+    ) -> None:
+        self.leg = leg
+        self.backend_id = backend_id
+        self.started_at = started_at
+        self.extra = extra
+        # Set by the transport, which alone uses it.
+        self.connection: Any = None
+
+
+class Work:
+    """One request in progress.
+
+    Attributes
+    ----------
+    route : routes.Route
+    message : Any
+        The request as the transport sends it; not read here.
+    started_at, deadline, answer_at : float
+        Monotonic times in seconds; a partial answer leaves from `answer_at`
+        on.
+    ended : bool
+    """
+
+    def __init__(
+        self,
+        route: routes.Route,
+        services: tuple[str, ...],
+        message: Any,
+        started_at: float,
+        patience_s: float,
+    ) -> None:
+        """Take a request.
+
+        Parameters
+        ----------
+        route : routes.Route
+        services : tuple of str
+            Services that each owe a part.
+        message : Any
+        started_at : float
+        patience_s : float
+            Time that the caller waits at most.
+        """
+        self.route = route
+        self.message = message
+        self.started_at = started_at
+        allowed_s = min(patience_s, route.timeout_s)
+        self.deadline = started_at + _less(allowed_s, DEADLINE_RESERVE_S)
+        self.answer_at = started_at + _less(route.target_s, TARGET_RESERVE_S)
+        self.legs = [Leg(self, service) for service in services]
+        self.ended = False
+        self.answered = 0
+        self.failed = 0
+        least = route.minimum_share if route.merges else 1
+        # At least one part; 1e-9 absorbs the error of the product.
+        self.needed = max(1, math.ceil(least * len(self.legs) - 1e-9))
+
+    def is_finished(self, now: float) -> bool:
+        """Whether the answer has to leave now."""
+        if self.ended or self.answered + self.failed >= len(self.legs):
+            return True
+        if len(self.legs) - self.failed < self.needed:
+            return True
+        if self.answered >= self.needed and now >= self.answer_at:
+            return True
+        return now >= self.deadline
+
+    def open_legs(self) -> Iterator[Leg]:
+        """Yield the legs that may still be answered."""
+        return (leg for leg in self.legs if not leg.is_settled)
+
+    def accept(self, leg: Leg, reply: Reply) -> None:
+        """Take the part of a leg."""
+        leg.reply = reply
+        self.answered += 1
+
+    def give_up(self, leg: Leg, reason: str) -> None:
+        """Note that a leg gets no part."""
+        leg.reason = reason
+        self.failed += 1
+
+    def end(self) -> Ending:
+        """End the request and say how."""
+        self.ended = True
+        if self.answered >= self.needed:
+            return Ending.ANSWERED
+        if not any(leg.may_have_run for leg in self.legs):
+            return Ending.NOT_RUN
+        possible = len(self.legs) - self.failed
+        return Ending.LATE if possible >= self.needed else Ending.FAILED
+
+    def parts(self) -> list[Reply]:
+        """Return the parts that came."""
+        return [leg.reply for leg in self.legs if leg.reply is not None]
+
+
+def merge(parts: list[Reply], limit: int) -> bytes:
+    """Return the greatest records of all parts, greatest first.
+
+    A remainder that is shorter than a record is none.
+    """
+    records = [
+        part.body[start : start + RECORD_BYTES]
+        for part in parts
+        for start in range(0, _whole_bytes(part.body), RECORD_BYTES)
+    ]
+    return b''.join(heapq.nlargest(limit, records))
+
+
+def _whole_bytes(body: bytes) -> int:
+    return len(body) - len(body) % RECORD_BYTES
+
+
+def _less(span_s: float, reserve_s: float) -> float:
+    """Return a span without its reserve, which is a quarter at most."""
+    return span_s - min(reserve_s, span_s * MAX_RESERVE_SHARE)
--- /dev/null
+++ b/cardamomflow/hosting.py
@@ -0,0 +1,203 @@
+"""The host program: the whole tier in one process, on a users' platform.
+
+Owns the requests in progress and when they are looked at again. Routes and
+backend servers come from the platform, so that it needs no agent, and it
+calls backend servers itself, so that it needs no aggregator.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import curio
+
+from cardamomflow import (
+    context,
+    directory,
+    dispatching,
+    errors,
+    following,
+    gathering,
+    limits,
+    routes,
+    serverconnection,
+)
+from cardamomflow.platform import backendlink, front
+
+# The number of hosts before any was counted: a small fleet's.
+ASSUMED_HOSTS = 8
+DEFAULT_RETRY_SHARE = 0.2
+# Retry-After of a request that no backend server can take. Callers wait at
+# most a third of the time that they have left.
+COME_BACK_S = 0.25
+
+
+class Host(front.Tier, backendlink.Events, following.Listener):
+    """State of a host process."""
+
+    def __init__(self, around: context.Context) -> None:
+        """Start without routes and without backend servers."""
+        self.stopping = False
+        self.bounds_changed: Callable[[serverconnection.Bounds], None] = _ignore
+        self.directory = directory.Directory()
+        self._context = around
+        self._clock = around.clock
+        self._metrics = around.metrics
+        self._table: routes.RouteTable | None = None
+        self._dispatcher = dispatching.Dispatcher(self.directory, around.random)
+        self.transport = backendlink.Transport(
+            self.directory.backends_by_id, self, around.clock
+        )
+        self._changed_by_work: dict[gathering.Work, curio.Event] = {}
+        self._share_with(ASSUMED_HOSTS)
+
+    # What the platform says.
+
+    async def routes_changed(self, table: routes.RouteTable) -> None:
+        """Put the routes of a newer revision in force."""
+        self._table = table
+        self._dispatcher.apply(table)
+        self.bounds_changed(
+            serverconnection.Bounds(
+                head_bytes=table.limits.head_bytes,
+                body_bytes=table.limits.body_bytes,
+                head_timeout_s=table.limits.head_timeout_s,
+                idle_timeout_s=table.limits.idle_timeout_s,
+            )
+        )
+
+    async def backends_changed(
+        self, changes: Iterable[directory.Change]
+    ) -> None:
+        """Use the backend servers that are listed now."""
+        self._dispatcher.changed(changes, self._clock())
+        for change in changes:
+            if not change.usable:
+                await self.transport.close_idle(change.backend_id)
+        await self._send()
+
+    async def hosts_counted(self, hosts: int) -> None:
+        """Take the number of hosts that share connections and budgets."""
+        self._share_with(hosts)
+
+    # What callers ask.
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers should come here."""
+        return self._table is not None and not self.stopping
+
+    def failed(self, error: errors.FlowError) -> None:
+        """Count a request that failed."""
+        self._metrics.increment(f'host.failed.{error.code}')
+
+    def route(self, host: str, path: str) -> routes.Route:
+        """Return the route of a request."""
+        if self._table is None:
+            raise errors.NotReady('no routes are known yet')
+        found = self._table.find(host, path)
+        if found is None:
+            raise errors.NotFound(f'no route leads from {host}{path}')
+        return found
+
+    async def answer(
+        self, route: routes.Route, message: Any, patience_s: float
+    ) -> gathering.Work:
+        """Return an ended request that has its answer."""
+        work = gathering.Work(
+            route,
+            route.services(self._context.random),
+            message,
+            self._clock(),
+            patience_s,
+        )
+        changed = curio.Event()
+        self._changed_by_work[work] = changed
+        try:
+            await self._run(work, changed)
+        finally:
+            self._changed_by_work.pop(work)
+            ending = work.end()
+            await self._cancel_if_left(work)
+        self._metrics.increment(f'host.{ending.name.lower()}')
+        _check(work, ending)
+        return work
+
+    async def _run(self, work: gathering.Work, changed: curio.Event) -> None:
+        self._dispatcher.start(work, self._clock())
+        await self._send()
+        while not work.is_finished(self._clock()):
+            next_at = self._dispatcher.tick(work, self._clock())
+            await self._send()
+            async with curio.ignore_after(max(0, next_at - self._clock())):
+                await changed.wait()
+            changed.clear()
+
+    # What backend servers answer.
+
+    async def answered(
+        self, attempt: gathering.Attempt, reply: gathering.Reply
+    ) -> None:
+        """Take a whole answer."""
+        self._dispatcher.answered(attempt, reply, self._clock())
+        await self._wake(attempt.leg.work)
+
+    async def failed_attempt(
+        self, attempt: gathering.Attempt, outcome: limits.CallOutcome
+    ) -> None:
+        """Take the end of an attempt without a whole answer."""
+        if outcome is limits.CallOutcome.CANCELLED:
+            self._dispatcher.cancelled(attempt, self._clock())
+        else:
+            self._dispatcher.failed(attempt, outcome, self._clock())
+        self._metrics.increment(f'host.attempts.{outcome.name.lower()}')
+        await self._wake(attempt.leg.work)
+
+    async def _wake(self, work: gathering.Work) -> None:
+        await self._send()
+        changed = self._changed_by_work.get(work)
+        if changed is not None and work.is_finished(self._clock()):
+            await changed.set()
+
+    async def _send(self) -> None:
+        for attempt in self._dispatcher.take_sends():
+            await self.transport.send(attempt)
+
+    async def _cancel_if_left(self, work: gathering.Work) -> None:
+        """Stop the attempts of a request whose caller is gone.
+
+        Those of an answered request may go on: they end by themselves, and
+        closing their connections costs new ones.
+        """
+        if work.is_finished(self._clock()) and work.answered >= work.needed:
+            return
+        for attempt in self._dispatcher.end(work):
+            await self.transport.cancel(attempt)
+
+    def _share_with(self, hosts: int) -> None:
+        settings = self._context.settings
+        self._dispatcher.share(
+            dispatching.Sharing(
+                max(1, hosts),
+                settings.get('retry_share', DEFAULT_RETRY_SHARE),
+                settings.get('retry_burst', 0),
+            )
+        )
+
+
+def _ignore(bounds: serverconnection.Bounds) -> None:
+    """Stand in until there is a server that takes the bounds."""
+
+
+def _check(work: gathering.Work, ending: gathering.Ending) -> None:
+    """Raise what a caller is told instead of an answer."""
+    if not work.route.merges and work.legs[0].failure is not None:
+        return
+    reasons = {leg.reason for leg in work.legs if leg.reason is not None}
+    told = ', '.join(sorted(reasons)) or 'no answer in time'
+    match ending:
+        case gathering.Ending.NOT_RUN:
+            raise errors.NoReplica(told, retry_after_s=COME_BACK_S)
+        case gathering.Ending.FAILED:
+            raise errors.BackendFailed(told)
+        case gathering.Ending.LATE:
+            raise errors.DeadlineExceeded(told)
--- /dev/null
+++ b/cardamomflow/platform/backendlink.py
@@ -0,0 +1,348 @@
+"""Connections to backend servers in the platform's protocol.
+
+Owns the connections, with at most one request on each. A connection whose
+answer did not end cleanly, came unasked or belongs to another request is
+closed and never used again.
+"""
+
+import abc
+import http
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+import curio
+import h11
+from curio import io as curio_io
+
+from cardamomflow import errors, gathering, limits, links, register
+from cardamomflow.platform import wire
+
+# A connection that was without use for longer may have fallen silent.
+IDLE_LIMIT_S = 20.0
+# The backend server closes an idle connection after the time that it tells;
+# a request sent just before may cross the close.
+IDLE_MARGIN_S = 0.5
+CONNECT_TIMEOUT_S = 0.3
+# An answer later than its deadline is not waited for this much longer.
+OVERDUE_S = 0.2
+SWEEP_INTERVAL_S = 0.1
+MAX_BODY_BYTES = 16_777_216
+_RECEIVE_BYTES = 65_536
+_MS = 1000
+_LOAD_FIELDS = 3
+
+
+class Message(NamedTuple):
+    """A caller's request as backend servers get it.
+
+    Attributes
+    ----------
+    method, target : bytes
+    headers : list of (bytes, bytes)
+        Without those that this host sets.
+    body : bytes
+    request_id : bytes
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    request_id: bytes
+
+
+class Events(abc.ABC):
+    """Takes how attempts end."""
+
+    @abc.abstractmethod
+    async def answered(
+        self, attempt: gathering.Attempt, reply: gathering.Reply
+    ) -> None:
+        """Take a whole answer."""
+
+    @abc.abstractmethod
+    async def failed_attempt(
+        self, attempt: gathering.Attempt, outcome: limits.CallOutcome
+    ) -> None:
+        """Take the end of an attempt without a whole answer."""
+
+
+class Transport:
+    """Sends attempts to backend servers."""
+
+    def __init__(
+        self,
+        backends_by_id: Mapping[str, register.Backend],
+        events: Events,
+        clock: Callable[[], float],
+    ) -> None:
+        """Take where backend servers are and whom to tell."""
+        self._backends_by_id = backends_by_id
+        self._events = events
+        self._clock = clock
+        self._idle_by_id: dict[str, list[_Connection]] = {}
+        self._busy: set[_Connection] = set()
+
+    async def send(self, attempt: gathering.Attempt) -> None:
+        """Send an attempt on an idle or a new connection."""
+        now = self._clock()
+        idle = self._idle_by_id.get(attempt.backend_id, [])
+        while idle:
+            connection = idle.pop()
+            if connection.usable_until > now:
+                await self._start(connection, attempt)
+                return
+            await connection.close()
+        await curio.spawn(self._connect_and_send, attempt, daemon=True)
+
+    async def cancel(self, attempt: gathering.Attempt) -> None:
+        """Stop an attempt by closing its connection."""
+        if attempt.connection is not None:
+            await attempt.connection.close()
+
+    async def close_idle(self, backend_id: str) -> None:
+        """Close the idle connections to a backend server that left."""
+        for connection in self._idle_by_id.pop(backend_id, ()):
+            await connection.close()
+
+    async def sweep(self) -> None:
+        """Close connections with overdue answers, until cancelled."""
+        while True:
+            await curio.sleep(SWEEP_INTERVAL_S)
+            now = self._clock()
+            overdue = [
+                connection
+                for connection in self._busy
+                if connection.answer_until <= now
+            ]
+            for connection in overdue:
+                await connection.close(limits.CallOutcome.TIMEOUT)
+
+    async def ended(
+        self, connection: '_Connection', reply: gathering.Reply
+    ) -> None:
+        """Take the answer of a connection and keep it if that is possible."""
+        attempt = connection.attempt
+        connection.attempt = None
+        self._busy.discard(connection)
+        if connection.usable_until > self._clock():
+            kept = self._idle_by_id.setdefault(attempt.backend_id, [])
+            kept.append(connection)
+        await self._events.answered(attempt, reply)
+
+    async def lost(
+        self, connection: '_Connection', outcome: limits.CallOutcome
+    ) -> None:
+        """Forget a connection that ended."""
+        self._busy.discard(connection)
+        idle = self._idle_by_id.get(connection.backend_id, [])
+        if connection in idle:
+            idle.remove(connection)
+        attempt, connection.attempt = connection.attempt, None
+        if attempt is not None:
+            await self._events.failed_attempt(attempt, outcome)
+
+    async def _connect_and_send(self, attempt: gathering.Attempt) -> None:
+        backend = self._backends_by_id.get(attempt.backend_id)
+        refused = limits.CallOutcome.REFUSED_CONNECTION
+        if backend is None:
+            await self._events.failed_attempt(attempt, refused)
+            return
+        try:
+            sock = await links.open_socket(
+                backend.address, backend.port, CONNECT_TIMEOUT_S
+            )
+        except errors.ConnectFailed:
+            await self._events.failed_attempt(attempt, refused)
+            return
+        connection = _Connection(sock, backend, self, self._clock)
+        if attempt.leg.is_settled:
+            # Nothing was sent, and the connection serves the next attempt.
+            self._idle_by_id.setdefault(backend.backend_id, []).append(
+                connection
+            )
+            await self._events.failed_attempt(attempt, refused)
+        else:
+            await self._start(connection, attempt)
+        await connection.run()
+
+    async def _start(
+        self, connection: '_Connection', attempt: gathering.Attempt
+    ) -> None:
+        self._busy.add(connection)
+        await connection.start(attempt)
+
+
+class _Connection:
+    """One connection to a backend server."""
+
+    def __init__(
+        self,
+        sock: curio_io.Socket,
+        backend: register.Backend,
+        transport: Transport,
+        clock: Callable[[], float],
+    ) -> None:
+        self.backend_id = backend.backend_id
+        self.attempt: gathering.Attempt | None = None
+        self.usable_until = clock() + IDLE_LIMIT_S
+        self.answer_until = float('inf')
+        self._sock = sock
+        self._transport = transport
+        self._clock = clock
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._response: h11.Response | None = None
+        self._body = bytearray()
+        self._ended_as = limits.CallOutcome.FAILED
+        self._closed = False
+
+    async def start(self, attempt: gathering.Attempt) -> None:
+        """Send the request of an attempt."""
+        self.attempt = attempt
+        attempt.connection = self
+        work = attempt.leg.work
+        self.answer_until = work.deadline + OVERDUE_S
+        payload = self._serialize(work.message, work.deadline)
+        try:
+            await self._sock.sendall(payload)
+        except OSError:
+            await self.close()
+
+    async def run(self) -> None:
+        """Read answers until the connection ends."""
+        try:
+            while await self._receive():
+                continue
+        except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
+            self._closed = True
+        finally:
+            await self._end()
+
+    async def close(
+        self, outcome: limits.CallOutcome = limits.CallOutcome.CANCELLED
+    ) -> None:
+        """End the connection; its reader then notices."""
+        if self._closed:
+            return
+        self._closed = True
+        self.usable_until = float('-inf')
+        self._ended_as = outcome
+        try:
+            await self._sock.shutdown(2)  # noqa: WPS432  # both ways
+        except OSError:
+            return
+
+    def _serialize(self, message: Message, deadline: float) -> bytes:
+        left_ms = max(1, int((deadline - self._clock()) * _MS))
+        headers = [
+            *message.headers,
+            (wire.DEADLINE, b'%d' % left_ms),
+            (wire.BACKEND_ID, self.backend_id.encode()),
+        ]
+        request = h11.Request(
+            method=message.method, target=message.target, headers=headers
+        )
+        blocks = [self._protocol.send(request)]
+        if message.body:
+            blocks.append(self._protocol.send(h11.Data(data=message.body)))
+        blocks.append(self._protocol.send(h11.EndOfMessage()))
+        return b''.join(blocks)
+
+    async def _receive(self) -> bool:
+        received = await self._sock.recv(_RECEIVE_BYTES)
+        if self.attempt is None:
+            # The end of an idle connection, or bytes of no request.
+            return False
+        self._protocol.receive_data(received)
+        event = self._protocol.next_event()
+        while event is not h11.NEED_DATA:
+            if not await self._take(event):
+                return False
+            if self.attempt is None:
+                return True
+            event = self._protocol.next_event()
+        return bool(received)
+
+    async def _take(self, event: Any) -> bool:
+        """Take an event; tell whether the connection may be used on."""
+        match event:
+            case h11.InformationalResponse():
+                return True
+            case h11.Response():
+                self._response = event
+                return self._is_own(event)
+            case h11.Data():
+                self._body += event.data
+                return len(self._body) <= MAX_BODY_BYTES
+            case h11.EndOfMessage():
+                return await self._finish()
+            case _:
+                return False
+
+    def _is_own(self, response: h11.Response) -> bool:
+        """Tell whether a response belongs to the request that waits."""
+        named = dict(response.headers).get(wire.REQUEST_ID)
+        return named in {None, self.attempt.leg.work.message.request_id}
+
+    async def _finish(self) -> bool:
+        response, self._response = self._response, None
+        body, self._body = bytes(self._body), bytearray()
+        keeps = self._prepare_next()
+        now = self._clock()
+        self.usable_until = _usable_until(response, now) if keeps else now
+        self.answer_until = float('inf')
+        await self._transport.ended(self, _reply_of(response, body))
+        return keeps
+
+    def _prepare_next(self) -> bool:
+        if self._protocol.trailing_data[0]:
+            return False
+        try:
+            self._protocol.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def _end(self) -> None:
+        self._closed = True
+        self.usable_until = float('-inf')
+        await self._transport.lost(self, self._ended_as)
+        await self._sock.close()
+
+
+def _usable_until(response: h11.Response, now: float) -> float:
+    found = dict(response.headers).get(b'keep-alive', b'')
+    for option in found.split(b','):
+        name, _, told = option.strip().partition(b'=')
+        if name == b'timeout' and told.isdigit():
+            return now + min(IDLE_LIMIT_S, int(told) - IDLE_MARGIN_S)
+    return now + IDLE_LIMIT_S
+
+
+def _reply_of(response: h11.Response, body: bytes) -> gathering.Reply:
+    found = dict(response.headers)
+    stamp = found.get(wire.STAMP)
+    status = response.status_code
+    misdirected = status == http.HTTPStatus.MISDIRECTED_REQUEST
+    return gathering.Reply(
+        status=status,
+        headers=[
+            (name, content)
+            for name, content in response.headers
+            if name not in wire.CONNECTION_HEADERS
+        ],
+        body=body,
+        stamp=None if stamp is None else stamp.decode('latin-1'),
+        not_run=misdirected or wire.NOT_RUN in found,
+        misdirected=misdirected,
+        load=_load_of(found.get(wire.LOAD, b'')),
+    )
+
+
+def _load_of(told: bytes) -> gathering.Load | None:
+    numbers = told.split(b',')
+    if len(numbers) != _LOAD_FIELDS:
+        return None
+    if not all(number.strip().isdigit() for number in numbers):
+        return None
+    return gathering.Load(*map(int, numbers))
--- a/cardamomflow/platform/channel.py
+++ b/cardamomflow/platform/channel.py
@@ -49,6 +49,7 @@
             http.HTTPStatus.OK,
             http.HTTPStatus.NO_CONTENT,
             http.HTTPStatus.NOT_FOUND,
+            http.HTTPStatus.GONE,
         }:
             raise errors.PlatformUnavailable(
                 f'the platform at {self._authority} answered with status'
@@ -101,6 +102,7 @@
         if reply.status in {
             http.HTTPStatus.OK,
             http.HTTPStatus.CONFLICT,
+            http.HTTPStatus.PRECONDITION_FAILED,
             http.HTTPStatus.NOT_FOUND,
         }:
             return
--- /dev/null
+++ b/cardamomflow/platform/documents.py
@@ -0,0 +1,122 @@
+"""Documents of the platform, decoded into our own types; no I/O.
+
+An entry of a backend server may come from another writer; one that does not
+have the documented form names none.
+"""
+
+import json
+from typing import Any
+
+from cardamomflow import errors, register, routes, rules
+
+_MS = 1000
+_STATES = frozenset(('ready', 'draining'))
+_LOWEST_RANK = max(rules.Rank)
+
+
+def parse_routes(content: bytes) -> routes.RouteTable:
+    """Return the routes of a configuration.
+
+    Raises
+    ------
+    errors.ProtocolViolation
+        It does not have the documented form.
+    """
+    try:
+        return _parse_routes(json.loads(content))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise errors.ProtocolViolation(
+            f'the configuration can not be read: {error!r}'
+        ) from error
+
+
+def parse_backend(backend_id: str, content: bytes) -> register.Backend | None:
+    """Return a backend server, None when the entry names none."""
+    try:
+        return _parse_backend(backend_id, json.loads(content))
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return None
+
+
+def _parse_routes(document: dict[str, Any]) -> routes.RouteTable:
+    limits = document['limits']
+    return routes.RouteTable(
+        int(document['version']),
+        [_parse_route(one) for one in document['routes']],
+        {one['name']: one['max_connections'] for one in document['services']},
+        routes.Limits(
+            head_bytes=limits['max_header_bytes'],
+            body_bytes=limits['max_body_bytes'],
+            head_timeout_s=limits['header_timeout_ms'] / _MS,
+            idle_timeout_s=limits['idle_timeout_ms'] / _MS,
+        ),
+    )
+
+
+def _parse_route(document: dict[str, Any]) -> routes.Route:
+    shards = tuple(document.get('gather') or ())
+    timeout_s = document['timeout_ms'] / _MS
+    return routes.Route(
+        name=document['name'],
+        host=document['host'].lower(),
+        prefix=document['prefix'],
+        shards=shards,
+        shares=() if shards else _parse_shares(document),
+        repeatable=document['route_type'] == 'safe',
+        attempts=max(1, document.get('attempts', 1)),
+        timeout_s=timeout_s,
+        target_s=document.get('target_latency_ms', timeout_s * _MS) / _MS,
+        rank=_parse_rank(document.get('priority')),
+        limit=document.get('top_k', 0),
+        minimum_share=document.get('min_shard_ratio', 1),
+    )
+
+
+def _parse_rank(priority: Any) -> rules.Rank:
+    """Return a rank; the platform counts from 0, the most urgent."""
+    if not isinstance(priority, int):
+        return _LOWEST_RANK
+    return rules.Rank(min(_LOWEST_RANK, max(0, priority) + 1))
+
+
+def _parse_shares(document: dict[str, Any]) -> tuple[routes.Share, ...]:
+    split = document.get('traffic_split')
+    if not split:
+        return (routes.Share(document['service'], 1),)
+    return tuple(
+        routes.Share(share['service'], share['weight']) for share in split
+    )
+
+
+def _parse_backend(
+    backend_id: str, document: dict[str, Any]
+) -> register.Backend | None:
+    address, _, port = document['address'].rpartition(':')
+    fits = (
+        isinstance(document['service'], str)
+        and isinstance(document['zone'], str)
+        and document['state'] in _STATES
+        and _is_count(document['slots'])
+        and _is_count(document['sequence'])
+        and _is_ip(address)
+    )
+    if not fits:
+        return None
+    return register.Backend(
+        backend_id=backend_id,
+        service=document['service'],
+        availability_zone=document['zone'],
+        address=address,
+        port=int(port),
+        host_id='',
+        leaving=document['state'] == 'draining',
+    )
+
+
+def _is_count(found: Any) -> bool:
+    return isinstance(found, int) and not isinstance(found, bool) and found >= 0
+
+
+def _is_ip(address: str) -> bool:
+    parts = address.split('.')
+    return len(parts) == 4 and all(part.isdigit() for part in parts)  # noqa: WPS432
--- /dev/null
+++ b/cardamomflow/platform/front.py
@@ -0,0 +1,138 @@
+"""Callers' requests in the platform's protocol, translated to our own.
+
+Owns no state: what a request asks is decided by its route, and the answer by
+`hosting`.
+"""
+
+import abc
+import math
+from typing import Any
+
+from cardamomflow import errors, gathering, routes, webhandler
+from cardamomflow.platform import backendlink, wire
+
+_OK = 200
+_MS = 1000
+_SET_BY_HOST = frozenset((wire.DEADLINE, wire.BACKEND_ID))
+
+
+class Tier(abc.ABC):
+    """What answers the requests."""
+
+    @abc.abstractmethod
+    def route(self, host: str, path: str) -> routes.Route:
+        """Return the route of a request.
+
+        Raises
+        ------
+        errors.NotReady, errors.NotFound
+            There are no routes yet, or none fits.
+        """
+
+    @abc.abstractmethod
+    async def answer(
+        self, route: routes.Route, message: Any, patience_s: float
+    ) -> gathering.Work:
+        """Return an ended request that has its answer.
+
+        Raises
+        ------
+        errors.FlowError
+            There is no answer.
+        """
+
+    @property
+    @abc.abstractmethod
+    def ready(self) -> bool:
+        """Whether new callers should come here."""
+
+    @abc.abstractmethod
+    def failed(self, error: errors.FlowError) -> None:
+        """Note a request that failed."""
+
+
+class Front(webhandler.RequestHandler):
+    """Answers callers."""
+
+    def __init__(self, tier: Tier) -> None:
+        """Take what answers."""
+        self._tier = tier
+
+    def failed(self, error: errors.FlowError) -> None:
+        """Note a failed request."""
+        self._tier.failed(error)
+
+    async def handle(self, request: webhandler.Request) -> webhandler.Response:
+        """Answer one request."""
+        headers = request.headers
+        host = headers.get('host', '').rpartition(':')
+        route = self._tier.route(
+            (host[0] or host[2]).lower(), request.path.partition('?')[0]
+        )
+        request_id = headers.get(wire.REQUEST_ID.decode())
+        if request_id is None:
+            raise errors.BadRequest('the request has no id')
+        work = await self._tier.answer(
+            route, _message(request, request_id), _patience_s(headers)
+        )
+        if route.merges:
+            return _merged(work)
+        reply = work.legs[0].reply or work.legs[0].failure
+        return webhandler.Response(
+            reply.status, None, reply.headers, reply.body
+        )
+
+
+class Readiness(webhandler.RequestHandler):
+    """Tells the platform whether new callers should come."""
+
+    def __init__(self, tier: Tier) -> None:
+        """Take who knows."""
+        self._tier = tier
+
+    async def handle(self, request: webhandler.Request) -> webhandler.Response:
+        """Answer one question."""
+        if request.path.partition('?')[0] != wire.READY_PATH:
+            raise errors.NotFound(f'there is no path {request.path}')
+        if not self._tier.ready:
+            raise errors.NotReady('no routes yet, or stopping')
+        return webhandler.Response(_OK, {'ready': True})
+
+
+def _patience_s(headers: dict[str, str]) -> float:
+    """Return how long a caller waits; without a number, as the route says."""
+    told = headers.get(wire.DEADLINE.decode(), '')
+    return int(told) / _MS if told.isdigit() else math.inf
+
+
+def _message(
+    request: webhandler.Request, request_id: str
+) -> backendlink.Message:
+    headers = [
+        (name, content)
+        for name, content in request.raw_headers
+        if name not in wire.CONNECTION_HEADERS and name not in _SET_BY_HOST
+    ]
+    if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
+        headers.append((b'content-length', b'%d' % len(request.body)))
+    return backendlink.Message(
+        request.method.encode('latin-1'),
+        request.path.encode('latin-1'),
+        headers,
+        request.body,
+        request_id.encode('latin-1'),
+    )
+
+
+def _merged(work: gathering.Work) -> webhandler.Response:
+    parts = work.parts()
+    return webhandler.Response(
+        _OK,
+        None,
+        [
+            ('content-type', 'application/octet-stream'),
+            (wire.PART_STAMPS, ','.join(part.stamp for part in parts)),
+            (wire.MISSING_PARTS, str(len(work.legs) - len(parts))),
+        ],
+        gathering.merge(parts, work.route.limit),
+    )
--- /dev/null
+++ b/cardamomflow/platform/kvstore.py
@@ -0,0 +1,177 @@
+"""The platform's metadata store over HTTP/1.1.
+
+Owns the paths and documents of its calls and the lease of this host's entry.
+Connections are those of `channel`; values are decoded by `documents`.
+"""
+
+import base64
+import binascii
+import http
+import urllib.parse
+from typing import Any
+
+from cardamomflow import errors, sources, webclient
+from cardamomflow.platform import channel, documents, wire
+
+DEFAULT_TIMEOUT_S = 1.0
+_MS = 1000
+_NO_LEASE = 0
+
+
+class KvStore(sources.Source):
+    """The store as one host uses it."""
+
+    def __init__(
+        self, address: str, port: int, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> None:
+        """Take the endpoint; connections are opened on use."""
+        self._channel = channel.Channel(address, port, timeout_s)
+        self._lease = _NO_LEASE
+
+    async def read_routes(self) -> sources.RoutesRead:
+        """Return the routes in force, None before there are any."""
+        reply = await self._get('kv-key', key=wire.CONFIGURATION_KEY)
+        if reply.status == http.HTTPStatus.NOT_FOUND:
+            # The revision is not told then, so the next read starts anew.
+            raise errors.PlatformUnavailable('there is no configuration yet')
+        document = reply.json()
+        table = documents.parse_routes(_value_of(document))
+        return sources.RoutesRead(table, _number(document, 'as_of'))
+
+    async def watch_routes(
+        self, revision: int, wait_s: float
+    ) -> sources.RoutesRead:
+        """Wait for a change of the routes."""
+        document = await self._watch(
+            wire.CONFIGURATION_PREFIX, revision, wait_s
+        )
+        table = None
+        for event in _rows(document, 'events'):
+            is_configuration = event.get('key') == wire.CONFIGURATION_KEY
+            if is_configuration and not event.get('removed'):
+                table = documents.parse_routes(_value_of(event))
+        return sources.RoutesRead(table, _number(document, 'as_of'))
+
+    async def list_backends(self) -> sources.BackendList:
+        """Return all entries of backend servers."""
+        prefix = wire.BACKENDS_PREFIX
+        document = (await self._get('kv-range', prefix=prefix)).json()
+        # Later pages may be newer; what changed meanwhile is watched from
+        # the revision of the first.
+        revision = _number(document, 'as_of')
+        entries = _entries(_rows(document, 'items'))
+        while document.get('has_more') and _rows(document, 'items'):
+            last = _rows(document, 'items')[-1]['key']
+            reply = await self._get('kv-range', prefix=prefix, after=last)
+            document = reply.json()
+            entries.extend(_entries(_rows(document, 'items')))
+        return sources.BackendList(entries, revision)
+
+    async def watch_backends(
+        self, revision: int, wait_s: float
+    ) -> sources.BackendList:
+        """Wait for changes of the list of backend servers."""
+        document = await self._watch(wire.BACKENDS_PREFIX, revision, wait_s)
+        return sources.BackendList(
+            _entries(_rows(document, 'events')), _number(document, 'as_of')
+        )
+
+    async def announce_host(self, host_id: str, ttl_s: float) -> None:
+        """List this host, or renew its entry, for a time."""
+        if self._lease != _NO_LEASE and await self._keep_lease():
+            return
+        reply = await self._channel.change(
+            'POST', '/api/kv-lease', {'ttl_ms': int(ttl_s * _MS)}
+        )
+        lease = self._channel.field_of_change(reply, 'lease', int)
+        await self._channel.change(
+            'POST',
+            '/api/kv-txn',
+            {
+                'expected_rev': [],
+                'puts': [
+                    {
+                        'key': f'{wire.HOSTS_PREFIX}{host_id}',
+                        'value': '',
+                        'lease': lease,
+                    }
+                ],
+                'delete_keys': [],
+            },
+        )
+        self._lease = lease
+
+    async def count_hosts(self) -> int:
+        """Return the number of listed hosts; may be seconds old."""
+        reply = await self._get(
+            'kv-range', prefix=wire.HOSTS_PREFIX, allow_stale=1
+        )
+        return len(_rows(reply.json(), 'items'))
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        await self._channel.close()
+
+    async def _keep_lease(self) -> bool:
+        reply = await self._channel.change(
+            'POST', f'/api/kv-keep/{self._lease}'
+        )
+        if reply.status == http.HTTPStatus.OK:
+            return True
+        self._lease = _NO_LEASE
+        return False
+
+    async def _watch(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> dict[str, Any]:
+        target = _target(
+            'kv-watch',
+            prefix=prefix,
+            after=revision,
+            wait_ms=int(wait_s * _MS),
+        )
+        reply = await self._channel.read(target, wait_s)
+        if reply.status == http.HTTPStatus.GONE:
+            raise sources.HistoryLost(
+                f'the changes after revision {revision} are not kept'
+            )
+        return reply.json()
+
+    async def _get(self, call: str, **query: Any) -> webclient.Reply:
+        return await self._channel.read(_target(call, **query))
+
+
+def _target(call: str, **query: Any) -> str:
+    return f'/api/{call}?{urllib.parse.urlencode(query)}'
+
+
+def _entries(rows: list[dict[str, Any]]) -> list[sources.Listed]:
+    return [_entry(row) for row in rows]
+
+
+def _entry(row: dict[str, Any]) -> sources.Listed:
+    backend_id = str(row.get('key', '')).removeprefix(wire.BACKENDS_PREFIX)
+    backend = None
+    if not row.get('removed'):
+        try:
+            backend = documents.parse_backend(backend_id, _value_of(row))
+        except errors.ProtocolViolation:
+            backend = None
+    return sources.Listed(backend_id, _number(row, 'revision'), backend)
+
+
+def _value_of(item: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(item['value'], validate=True)
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise errors.ProtocolViolation(
+            f'a value of the platform can not be read: {error!r}'
+        ) from error
+
+
+def _number(document: dict[str, Any], name: str) -> int:
+    return channel.field(document, name, int)
+
+
+def _rows(document: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    return channel.field(document, name, list)
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -10,7 +10,7 @@
 import json
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 import h11
@@ -28,8 +28,35 @@
 _BODILESS = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 
+class Bounds(NamedTuple):
+    """What a caller may send, and how slowly.
+
+    Attributes
+    ----------
+    head_bytes, body_bytes : int
+    head_timeout_s, body_timeout_s : float
+        Time for the whole head, and for the whole body.
+    idle_timeout_s : float
+        Time without a request after which a connection is closed.
+    """
+
+    head_bytes: int = MAX_HEAD_BYTES
+    body_bytes: int = MAX_BODY_BYTES
+    head_timeout_s: float = HEAD_TIMEOUT_S
+    body_timeout_s: float = BODY_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 class Owner(abc.ABC):
-    """Server that a connection belongs to."""
+    """Server that a connection belongs to.
+
+    Attributes
+    ----------
+    bounds : Bounds
+        In force for the next request; may change.
+    """
+
+    bounds: Bounds = Bounds()
 
     @property
     @abc.abstractmethod
@@ -59,7 +86,7 @@
         self._server = server
         self._input_ended = False
         self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=server.bounds.head_bytes
         )
 
     async def run(self) -> None:
@@ -151,7 +178,9 @@
         head = await self._read_head()
         if head is None:
             return None
-        body = await _read_within(BODY_TIMEOUT_S, 'body', self._read_body)
+        body = await _read_within(
+            self._server.bounds.body_timeout_s, 'body', self._read_body
+        )
         headers = {
             name.decode('latin-1'): content.decode('latin-1')
             for name, content in head.headers
@@ -161,20 +190,26 @@
             head.target.decode('latin-1'),
             headers,
             body,
+            head.headers,
         )
 
     async def _read_head(self) -> h11.Request | None:
         try:
-            first = await curio.timeout_after(IDLE_TIMEOUT_S, self._next_byte)
+            first = await curio.timeout_after(
+                self._server.bounds.idle_timeout_s, self._next_byte
+            )
         except curio.TaskTimeout:
             return None
         if not first:
             return None
         self.busy = True
-        event = await _read_within(HEAD_TIMEOUT_S, 'head', self._next_event)
+        bounds = self._server.bounds
+        event = await _read_within(
+            bounds.head_timeout_s, 'head', self._next_event
+        )
         if not isinstance(event, h11.Request):
             return None
-        _check_head(event)
+        _check_head(event, bounds)
         return event
 
     async def _next_byte(self) -> bool:
@@ -192,7 +227,7 @@
             if not isinstance(event, h11.Data):
                 raise errors.BadRequest('the body ended early')
             body += event.data
-            _check_body_size(len(body))
+            _check_body_size(len(body), self._server.bounds.body_bytes)
 
     async def _next_event(self) -> Any:
         while True:
@@ -215,7 +250,7 @@
             large = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             if error.error_status_hint == large:
                 raise errors.HeadTooLarge(
-                    f'the head is over {MAX_HEAD_BYTES} bytes'
+                    f'the head is over {self._server.bounds.head_bytes} bytes'
                 ) from error
             raise errors.BadRequest(f'malformed HTTP: {error}') from error
 
@@ -250,7 +285,16 @@
         self, response: webhandler.Response
     ) -> tuple[int, bytes, list[tuple[str, str]]]:
         if response.status in _BODILESS:
-            return response.status, b'', []
+            return response.status, b'', list(response.headers)
+        if response.body is not None:
+            return (
+                response.status,
+                response.body,
+                [
+                    *response.headers,
+                    ('content-length', str(len(response.body))),
+                ],
+            )
         try:
             body = json.dumps(response.document).encode()
         except (TypeError, ValueError) as error:
@@ -263,6 +307,7 @@
             [
                 ('content-type', 'application/json'),
                 ('content-length', str(len(body))),
+                *response.headers,
             ],
         )
 
@@ -292,19 +337,21 @@
         ) from None
 
 
-def _check_head(head: h11.Request) -> None:
+def _check_head(head: h11.Request, bounds: Bounds) -> None:
     """Check what h11 does not: a head in one piece, and tunnels."""
     if head.method == b'CONNECT':
         raise errors.MethodNotAllowed('CONNECT is not supported')
     size = len(head.target) + sum(
         len(name) + len(content) for name, content in head.headers
     )
-    if size > MAX_HEAD_BYTES:
-        raise errors.HeadTooLarge(f'the head is over {MAX_HEAD_BYTES} bytes')
+    if size > bounds.head_bytes:
+        raise errors.HeadTooLarge(f'the head is over {bounds.head_bytes} bytes')
     # h11 has checked that the length is a number.
-    _check_body_size(int(dict(head.headers).get(b'content-length', b'0')))
+    _check_body_size(
+        int(dict(head.headers).get(b'content-length', b'0')), bounds.body_bytes
+    )
 
 
-def _check_body_size(size: int) -> None:
-    if size > MAX_BODY_BYTES:
-        raise errors.BodyTooLarge(f'the body is over {MAX_BODY_BYTES} bytes')
+def _check_body_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise errors.BodyTooLarge(f'the body is over {limit} bytes')
--- a/cardamomflow/settings.py
+++ b/cardamomflow/settings.py
@@ -24,6 +24,7 @@
     'entry': 'EntrySettings',
     'aggregator': 'AggregatorSettings',
     'operator': 'OperatorSettings',
+    'host': 'HostSettings',
 }
 
 
@@ -79,7 +80,8 @@
     document : object
         Parsed YAML or JSON.
     schema_name : str
-        `agent`, `entry`, `aggregator`, `operator`, `register` or `rules`.
+        `agent`, `entry`, `aggregator`, `host`, `operator`, `register` or
+        `rules`.
     source : str
         Origin of the document, named in the problems.
 
--- a/cardamomflow/shutdown.py
+++ b/cardamomflow/shutdown.py
@@ -19,6 +19,8 @@
     # curio 1.6 has no signal interface. A signal handler may only write to
     # a socket: taking a lock in it could block the loop that it interrupts.
     reader, writer = socket.socketpair()
+    # A host's settings can't change while it runs, and the signal would end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with writer:
         writer.setblocking(False)
         for number in _STOP_SIGNALS:
--- a/cardamomflow/webhandler.py
+++ b/cardamomflow/webhandler.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from cardamomflow import errors, jsonbody
@@ -17,6 +18,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
 
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object.
@@ -30,10 +32,23 @@
 
 
 class Response(NamedTuple):
-    """A response with a JSON body."""
+    """A response.
+
+    Attributes
+    ----------
+    status : int
+    document : Any
+        Sent as JSON, unless there is a body.
+    headers : sequence of pairs
+        Further headers.
+    body : bytes or None
+        Sent as it is.
+    """
 
     status: int
     document: Any
+    headers: Sequence[tuple[Any, Any]] = ()
+    body: bytes | None = None
 
 
 class RequestHandler(abc.ABC):
@@ -54,6 +69,9 @@
     error: errors.FlowError, request_id: str | None = None
 ) -> Response:
     """Return the response that carries a failure."""
+    headers = []
+    if error.retry_after_s is not None:
+        headers.append(('retry-after', f'{error.retry_after_s:g}'))
     return Response(
         error.status,
         {
@@ -64,4 +82,5 @@
                 'outcome': error.outcome,
             },
         },
+        headers,
     )
