Tell no request not run that was sent, and keep the budget over changes

A request that was sent into a partition was told 503 at its deadline and ran later, since its open attempt had no outcome. A changed count of hosts, and each started process, had a full budget of further attempts again: 149 in 10 s where 141 were allowed.

Change: a sent attempt counts as one that may run. A changed count resizes the budget and keeps its tokens, a started host has one token, and a smaller count is believed after 30 s. Backend servers of the own zone are preferred unless others are twice as fast. A host makes fewer calls to the store.

Ruled out: waiting for open attempts before a 503, which would hold callers to their deadline.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -27,8 +27,6 @@
 MINIMUM_HEDGE_DELAY_S = 0.008
 # Time without new connections to a backend server that refused one.
 UNREACHABLE_S = 0.5
-# A backend server that does not answer for this many targets is not hedged
-# again but left to the deadline.
 _MS_PER_S = 1000
 
 
@@ -49,6 +47,11 @@
     extra_share: float
     extra_burst: float
 
+    @property
+    def burst_of_host(self) -> float:
+        """Further attempts of this host in a window, beside the share."""
+        return self.extra_burst / self.hosts
+
 
 class _Waiting(NamedTuple):
     rank: rules.Rank
@@ -60,10 +63,14 @@
     """Attempts of one host."""
 
     def __init__(
-        self, listed: directory.Directory, random: random_module.Random
+        self,
+        listed: directory.Directory,
+        availability_zone: str,
+        random: random_module.Random,
     ) -> None:
-        """Take the backend servers to choose from."""
+        """Take the backend servers to choose from, and the own zone."""
         self._directory = listed
+        self._zone = availability_zone
         self._chooser = replicas.ReplicaChooser(random)
         # Extra load is bounded for each service; this one only learns when.
         self._hedges = hedging.HedgePolicy(
@@ -90,9 +97,9 @@
 
     def share(self, sharing: Sharing) -> None:
         """Take a changed number of hosts."""
-        if sharing != self._sharing:
-            self._sharing = sharing
-            self._extra_by_service.clear()
+        self._sharing = sharing
+        for budget in self._extra_by_service.values():
+            budget.resize(sharing.extra_share, sharing.burst_of_host)
 
     def take_sends(self) -> list[gathering.Attempt]:
         """Return the attempts to send since the last call."""
@@ -219,18 +226,18 @@
             if not leg.open_attempts:
                 leg.work.give_up(leg, 'no_backend_server')
             return
-        if not self._send(leg, candidates, now, extra=bool(leg.asked)):
+        if not self._send(leg, candidates, now):
             self._wait(leg)
 
     def _repeat(self, leg: gathering.Leg, reason: str, now: float) -> None:
         """Ask another backend server after a failure, if that is allowed."""
         if leg.open_attempts or leg.waiting:
             return
-        allowed = leg.work.route.repeatable or not leg.may_have_run
+        allowed = leg.work.route.repeatable or not leg.may_run
         if allowed and self._may_ask_another(leg):
             candidates = self._candidates(leg, now)
             if candidates and self._extra(leg.service).withdraw():
-                if not self._send(leg, candidates, now, extra=True):
+                if not self._send(leg, candidates, now):
                     self._wait(leg)
                 return
         leg.work.give_up(leg, reason)
@@ -238,20 +245,19 @@
     def _hedge(self, leg: gathering.Leg, now: float) -> None:
         candidates = self._with_room(leg, self._candidates(leg, now))
         if candidates and self._extra(leg.service).withdraw():
-            self._send(leg, candidates, now, extra=True)
+            self._send(leg, candidates, now)
 
     def _send(
         self,
         leg: gathering.Leg,
         candidates: Sequence[str],
         now: float,
-        *,
-        extra: bool,
     ) -> bool:
-        backend_id = self._chooser.choose(self._with_room(leg, candidates), now)
+        free = self._with_room(leg, candidates)
+        backend_id = self._chooser.choose(free, now, near=self._near(free))
         if backend_id is None:
             return False
-        attempt = gathering.Attempt(leg, backend_id, now, extra=extra)
+        attempt = gathering.Attempt(leg, backend_id, now)
         leg.asked.append(backend_id)
         leg.open_attempts.append(attempt)
         self._in_flight_by_id[backend_id] = self.in_flight(backend_id) + 1
@@ -259,6 +265,15 @@
         self._sends.append(attempt)
         return True
 
+    def _near(self, backend_ids: Iterable[str]) -> set[str]:
+        """Return the backend servers of the own availability zone."""
+        backends_by_id = self._directory.backends_by_id
+        return {
+            backend_id
+            for backend_id in backend_ids
+            if backends_by_id[backend_id].availability_zone == self._zone
+        }
+
     def _candidates(self, leg: gathering.Leg, now: float) -> list[str]:
         """Return whom a leg may ask, without those known to be away."""
         if not self._may_ask_another(leg):
@@ -298,9 +313,8 @@
     def _extra(self, service: str) -> extraload.ExtraLoad:
         budget = self._extra_by_service.get(service)
         if budget is None:
-            sharing = self._sharing
             budget = extraload.ExtraLoad(
-                sharing.extra_share, sharing.extra_burst / sharing.hosts
+                self._sharing.extra_share, self._sharing.burst_of_host
             )
             self._extra_by_service[service] = budget
         return budget
@@ -327,9 +341,7 @@
                 candidates = self._candidates(leg, now)
                 if not candidates and not leg.open_attempts:
                     leg.work.give_up(leg, 'no_backend_server')
-                elif not self._send(
-                    leg, candidates, now, extra=bool(leg.asked)
-                ):
+                elif not self._send(leg, candidates, now):
                     return
             heapq.heappop(waiting)
             leg.waiting = False
--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -15,7 +15,10 @@
     """Tokens of one service."""
 
     def __init__(self, share: float, burst: float) -> None:
-        """Start full.
+        """Start with one token.
+
+        A host that starts again within a window does not know what it sent
+        before; it would spend its part of the fixed number twice.
 
         Parameters
         ----------
@@ -24,9 +27,14 @@
         burst : float
             Further attempts of this host in a window, beside the share.
         """
+        self._tokens = 1.0
+        self.resize(share, burst)
+
+    def resize(self, share: float, burst: float) -> None:
+        """Take another part of the bound; tokens beyond it are lost."""
         self._share = share * SAFETY
         self._capacity = max(1.0, burst * SAFETY)
-        self._tokens = self._capacity
+        self._tokens = min(self._capacity, self._tokens)
 
     def first_sent(self) -> None:
         """Earn a share of a token for a first attempt."""
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -11,9 +11,13 @@
 
 from cardamomflow import context, directory, errors, routes, sources
 
-# A watch on a connection that fell silent is noticed this much later, and a
-# change has to be in force within 3 s.
-WATCH_WAIT_S = 2.0
+# A connection may fall silent for good. A change has to be in force within 3 s
+# from 4 s after that, so a silent watch has to end within 7 s, with a second
+# for its answer.
+WATCH_WAIT_S = 5.0
+# Backend servers come and go in groups; each answer of a watch is a call that
+# is paid for, and a leaving one takes work for 3 s.
+GATHER_CHANGES_S = 0.3
 # Waits between calls that fail: enough for a store that answers in
 # milliseconds, and few calls of a whole fleet against one that is down.
 RETRY_MINIMUM_S = 0.1
@@ -146,9 +150,11 @@
         return await self._take_backends(found)
 
     async def _watch_backends(self, revision: int) -> int:
-        return await self._take_backends(
-            await self._source.watch_backends(revision, WATCH_WAIT_S)
-        )
+        found = await self._source.watch_backends(revision, WATCH_WAIT_S)
+        following = await self._take_backends(found)
+        if found.entries:
+            await curio.sleep(GATHER_CHANGES_S)
+        return following
 
     async def _take_backends(self, found: sources.BackendList) -> int:
         changes = [self._take_entry(entry) for entry in found.entries]
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -111,21 +111,30 @@
             self.reply is not None or self.reason is not None or self.work.ended
         )
 
+    @property
+    def may_run(self) -> bool:
+        """Whether an attempt has run, or may run now or later.
+
+        A request that was sent before a partition may arrive after its end.
+        """
+        return self.may_have_run or any(
+            attempt.sent for attempt in self.open_attempts
+        )
+
 
 class Attempt:
     """A request sent to one backend server."""
 
-    __slots__ = ('leg', 'backend_id', 'started_at', 'extra', 'connection')
+    __slots__ = ('leg', 'backend_id', 'started_at', 'connection', 'sent')
 
-    def __init__(
-        self, leg: Leg, backend_id: str, started_at: float, *, extra: bool
-    ) -> None:
+    def __init__(self, leg: Leg, backend_id: str, started_at: float) -> None:
         self.leg = leg
         self.backend_id = backend_id
         self.started_at = started_at
-        self.extra = extra
         # Set by the transport, which alone uses it.
         self.connection: Any = None
+        # Whether the request may have left this host.
+        self.sent = False
 
 
 class Work:
@@ -205,7 +214,7 @@
         self.ended = True
         if self.answered >= self.needed:
             return Ending.ANSWERED
-        if not any(leg.may_have_run for leg in self.legs):
+        if not any(leg.may_run for leg in self.legs):
             return Ending.NOT_RUN
         possible = len(self.legs) - self.failed
         return Ending.LATE if possible >= self.needed else Ending.FAILED
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -25,6 +25,9 @@
 
 # The number of hosts before any was counted: a small fleet's.
 ASSUMED_HOSTS = 8
+# Time after which a smaller number of hosts is believed; an outage of the
+# platform with its catching up is shorter.
+FEWER_HOSTS_S = 30.0
 DEFAULT_RETRY_SHARE = 0.2
 # Retry-After of a request that no backend server can take. Callers wait at
 # most a third of the time that they have left.
@@ -43,11 +46,17 @@
         self._clock = around.clock
         self._metrics = around.metrics
         self._table: routes.RouteTable | None = None
-        self._dispatcher = dispatching.Dispatcher(self.directory, around.random)
+        self._dispatcher = dispatching.Dispatcher(
+            self.directory,
+            around.settings['host']['availability_zone'],
+            around.random,
+        )
         self.transport = backendlink.Transport(
             self.directory.backends_by_id, self, around.clock
         )
         self._changed_by_work: dict[gathering.Work, curio.Event] = {}
+        self._hosts = 0
+        self._hosts_until = float('-inf')
         self._share_with(ASSUMED_HOSTS)
 
     # What the platform says.
@@ -76,8 +85,16 @@
         await self._send()
 
     async def hosts_counted(self, hosts: int) -> None:
-        """Take the number of hosts that share connections and budgets."""
-        self._share_with(hosts)
+        """Take the number of hosts that share connections and budgets.
+
+        A smaller number counts only after a while: entries of hosts that
+        live may be missing from the list for some seconds.
+        """
+        now = self._clock()
+        if hosts >= self._hosts or now >= self._hosts_until:
+            self._hosts = hosts
+            self._hosts_until = now + FEWER_HOSTS_S
+            self._share_with(hosts)
 
     # What callers ask.
 
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -203,6 +203,7 @@
         work = attempt.leg.work
         self.answer_until = work.deadline + OVERDUE_S
         payload = self._serialize(work.message, work.deadline)
+        attempt.sent = True
         try:
             await self._sock.sendall(payload)
         except OSError:
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -27,6 +27,7 @@
         """Take the endpoint; connections are opened on use."""
         self._channel = channel.Channel(address, port, timeout_s)
         self._lease = _NO_LEASE
+        self._own_key = ''
 
     async def read_routes(self) -> sources.RoutesRead:
         """Return the routes in force, None before there are any."""
@@ -78,6 +79,7 @@
 
     async def announce_host(self, host_id: str, ttl_s: float) -> None:
         """List this host, or renew its entry, for a time."""
+        self._own_key = f'{wire.HOSTS_PREFIX}{host_id}'
         if self._lease != _NO_LEASE and await self._keep_lease():
             return
         reply = await self._channel.change(
@@ -91,7 +93,7 @@
                 'expected_rev': [],
                 'puts': [
                     {
-                        'key': f'{wire.HOSTS_PREFIX}{host_id}',
+                        'key': self._own_key,
                         'value': '',
                         'lease': lease,
                     }
@@ -106,7 +108,11 @@
         reply = await self._get(
             'kv-range', prefix=wire.HOSTS_PREFIX, allow_stale=1
         )
-        return len(_rows(reply.json(), 'items'))
+        keys = {row.get('key') for row in _rows(reply.json(), 'items')}
+        if self._own_key not in keys:
+            # The platform may take an entry away while its lease goes on.
+            self._lease = _NO_LEASE
+        return len(keys | {self._own_key})
 
     async def close(self) -> None:
         """Close all idle connections."""
--- a/cardamomflow/replicas.py
+++ b/cardamomflow/replicas.py
@@ -7,7 +7,7 @@
 
 import math
 import random as random_module
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Sequence, Set
 
 from cardamomflow import limits
 
@@ -30,6 +30,10 @@
 # A free replica is left idle when its latency is above this many expected
 # waits for another one; work sent to a straggler would finish later.
 PATIENCE = 2
+# A replica of another availability zone is taken when its expected wait is
+# this much shorter. Traffic between zones costs the users money, and a zone
+# that may be cut off should not depend on others.
+REMOTE_FACTOR = 2
 EJECTION_S = 5.0
 EJECTION_CAP_S = 60.0
 _GROWTH = 2
@@ -153,6 +157,7 @@
         candidates: Sequence[str],
         now: float,
         excluded: Collection[str] = (),
+        near: Set[str] = frozenset(),
     ) -> str | None:
         """Return a candidate, or None when all are excluded.
 
@@ -163,6 +168,8 @@
         now : float
         excluded : collection of str
             Replicas that may not be used, such as those already tried.
+        near : set of str
+            Replicas of the own availability zone, which are preferred.
         """
         self._note_candidates(candidates, now)
         usable = [
@@ -175,10 +182,17 @@
             for backend_id in usable
             if not self.ejected(backend_id, now)
         ]
-        drawn = self._draw(self._warm(healthy or usable, now))
+        warm = self._warm(healthy or usable, now)
+        drawn = self._draw(warm)
+        local = [backend_id for backend_id in warm if backend_id in near]
+        if local and near.isdisjoint(drawn):
+            drawn[0] = self._random.choice(local)
         return min(
             drawn,
-            key=lambda backend_id: self._replicas_by_id[backend_id].load(now),
+            key=lambda backend_id: (
+                self._replicas_by_id[backend_id].load(now)
+                * (1 if backend_id in near else REMOTE_FACTOR)
+            ),
             default=None,
         )
 
