Separate the connections of a host from the choice of backend servers

Cause: the dispatcher owned counts of attempts and unreachable backend servers beside its decisions, and counts of backend servers that left were kept.

Change: occupancy owns both and drops what is not in use. A part without a signature counts as a failure. Bounds of the HTTP server are set by tests on the server, not on the module.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -17,6 +17,7 @@
     gathering,
     hedging,
     limits,
+    occupancy,
     replicas,
     routes,
     rules,
@@ -25,8 +26,6 @@
 # A hedge later than this share of the target would answer after it.
 LATEST_HEDGE_SHARE = 0.3
 MINIMUM_HEDGE_DELAY_S = 0.008
-# Time without new connections to a backend server that refused one.
-UNREACHABLE_S = 0.5
 _MS_PER_S = 1000
 
 
@@ -80,9 +79,7 @@
             )
         )
         self._sharing = Sharing(1, 0, 0)
-        self._table: routes.RouteTable | None = None
-        self._in_flight_by_id: dict[str, int] = {}
-        self._unreachable_until: dict[str, float] = {}
+        self.occupancy = occupancy.Occupancy()
         self._extra_by_service: dict[str, extraload.ExtraLoad] = {}
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._sequence = itertools.count()
@@ -90,7 +87,7 @@
 
     def apply(self, table: routes.RouteTable) -> None:
         """Take the routes of a new revision."""
-        self._table = table
+        self.occupancy.apply(table.connections_by_service)
         services = table.services()
         for service in self._extra_by_service.keys() - services:
             self._extra_by_service.pop(service)
@@ -98,6 +95,7 @@
     def share(self, sharing: Sharing) -> None:
         """Take a changed number of hosts."""
         self._sharing = sharing
+        self.occupancy.share(sharing.hosts)
         for budget in self._extra_by_service.values():
             budget.resize(sharing.extra_share, sharing.burst_of_host)
 
@@ -106,10 +104,6 @@
         sends, self._sends = self._sends, []
         return sends
 
-    def in_flight(self, backend_id: str) -> int:
-        """Return the attempts that hold a connection."""
-        return self._in_flight_by_id.get(backend_id, 0)
-
     # What callers ask.
 
     def start(self, work: gathering.Work, now: float) -> None:
@@ -166,8 +160,7 @@
         leg = attempt.leg
         self._settle(attempt, outcome, now)
         if outcome is limits.CallOutcome.REFUSED_CONNECTION:
-            until = now + UNREACHABLE_S
-            self._unreachable_until[attempt.backend_id] = until
+            self.occupancy.refused(attempt.backend_id, now)
             leg.asked.remove(attempt.backend_id)
             leg.avoided.add(attempt.backend_id)
             if not leg.is_settled:
@@ -187,15 +180,15 @@
     def changed(self, changes: Iterable[directory.Change], now: float) -> None:
         """Take changes of the list of backend servers."""
         for change in changes:
-            if not change.usable and not self.in_flight(change.backend_id):
+            if not change.usable and self.occupancy.is_idle(change.backend_id):
                 self._chooser.forget(change.backend_id)
-                self._unreachable_until.pop(change.backend_id, None)
+                self.occupancy.forget(change.backend_id)
             self._pump(change.service, now)
 
     def _take(
         self, leg: gathering.Leg, reply: gathering.Reply, now: float
     ) -> None:
-        if reply.succeeded:
+        if reply.succeeded and (reply.stamp or not leg.work.route.merges):
             leg.work.accept(leg, reply)
         elif reply.not_run:
             self._repeat(leg, 'refused', now)
@@ -211,7 +204,7 @@
     ) -> None:
         backend_id = attempt.backend_id
         attempt.leg.open_attempts.remove(attempt)
-        self._in_flight_by_id[backend_id] -= 1
+        self.occupancy.ended(backend_id)
         latency_s = now - attempt.started_at
         self._chooser.observe(backend_id, outcome, latency_s, now)
         if outcome is limits.CallOutcome.SUCCESS:
@@ -233,8 +226,7 @@
         """Ask another backend server after a failure, if that is allowed."""
         if leg.open_attempts or leg.waiting:
             return
-        allowed = leg.work.route.repeatable or not leg.may_run
-        if allowed and self._may_ask_another(leg):
+        if leg.work.route.repeatable or not leg.may_run:
             candidates = self._candidates(leg, now)
             if candidates and self._extra(leg.service).withdraw():
                 if not self._send(leg, candidates, now):
@@ -243,7 +235,8 @@
         leg.work.give_up(leg, reason)
 
     def _hedge(self, leg: gathering.Leg, now: float) -> None:
-        candidates = self._with_room(leg, self._candidates(leg, now))
+        candidates = self._candidates(leg, now)
+        candidates = self.occupancy.free(leg.service, candidates)
         if candidates and self._extra(leg.service).withdraw():
             self._send(leg, candidates, now)
 
@@ -253,14 +246,14 @@
         candidates: Sequence[str],
         now: float,
     ) -> bool:
-        free = self._with_room(leg, candidates)
+        free = self.occupancy.free(leg.service, candidates)
         backend_id = self._chooser.choose(free, now, near=self._near(free))
         if backend_id is None:
             return False
         attempt = gathering.Attempt(leg, backend_id, now)
         leg.asked.append(backend_id)
         leg.open_attempts.append(attempt)
-        self._in_flight_by_id[backend_id] = self.in_flight(backend_id) + 1
+        self.occupancy.started(backend_id)
         self._chooser.started(backend_id, now)
         self._sends.append(attempt)
         return True
@@ -276,39 +269,14 @@
 
     def _candidates(self, leg: gathering.Leg, now: float) -> list[str]:
         """Return whom a leg may ask, without those known to be away."""
-        if not self._may_ask_another(leg):
+        if len(leg.asked) >= leg.work.route.attempts:
             return []
         listed = [
             backend_id
             for backend_id in self._directory.usable(leg.service)
             if backend_id not in leg.asked and backend_id not in leg.avoided
         ]
-        reachable = [
-            backend_id
-            for backend_id in listed
-            if self._unreachable_until.get(backend_id, now) <= now
-        ]
-        return reachable or listed
-
-    def _may_ask_another(self, leg: gathering.Leg) -> bool:
-        return len(leg.asked) < leg.work.route.attempts
-
-    def _with_room(
-        self, leg: gathering.Leg, candidates: Sequence[str]
-    ) -> list[str]:
-        allowance = self.allowance(leg.service)
-        return [
-            backend_id
-            for backend_id in candidates
-            if self.in_flight(backend_id) < allowance
-        ]
-
-    def allowance(self, service: str) -> int:
-        """Return the connections that this host may hold to a server."""
-        if self._table is None:
-            return 1
-        accepted = self._table.connections_by_service.get(service, 1)
-        return max(1, accepted // self._sharing.hosts)
+        return self.occupancy.reachable(listed, now)
 
     def _extra(self, service: str) -> extraload.ExtraLoad:
         budget = self._extra_by_service.get(service)
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -20,6 +20,8 @@
 # Kept back from the caller's deadline for the same.
 DEADLINE_RESERVE_S = 0.02
 MAX_RESERVE_SHARE = 0.25
+# Error of a share times a number of shards.
+ROUNDING = 1e-9
 
 
 class Load(NamedTuple):
@@ -182,8 +184,7 @@
         self.answered = 0
         self.failed = 0
         least = route.minimum_share if route.merges else 1
-        # At least one part; 1e-9 absorbs the error of the product.
-        self.needed = max(1, math.ceil(least * len(self.legs) - 1e-9))
+        self.needed = max(1, math.ceil(least * len(self.legs) - ROUNDING))
 
     def is_finished(self, now: float) -> bool:
         """Whether the answer has to leave now."""
--- /dev/null
+++ b/cardamomflow/occupancy.py
@@ -0,0 +1,78 @@
+"""Connections of one host to backend servers, and who can be reached.
+
+Sans-I/O. Owns the attempts in flight at each backend server and the share of
+its connections that this host may hold. All hosts hold a part of what the
+backend server accepts, without asking each other.
+"""
+
+import collections
+from collections.abc import Iterable, Mapping
+
+# Time without new connections to a backend server that refused one: short,
+# since the platform lists a crashed one for seconds, and one that comes back
+# is wanted at once.
+UNREACHABLE_S = 0.5
+
+
+class Occupancy:
+    """Attempts in flight by backend server."""
+
+    def __init__(self) -> None:
+        """Start without attempts and without a known bound."""
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._unreachable_until: dict[str, float] = {}
+        self._connections_by_service: Mapping[str, int] = {}
+        self._hosts = 1
+
+    def apply(self, connections_by_service: Mapping[str, int]) -> None:
+        """Take how many connections a backend server accepts."""
+        self._connections_by_service = connections_by_service
+
+    def share(self, hosts: int) -> None:
+        """Take the number of hosts that hold connections."""
+        self._hosts = hosts
+
+    def allowance(self, service: str) -> int:
+        """Return the connections that this host may hold to a server."""
+        accepted = self._connections_by_service.get(service, 1)
+        return max(1, accepted // self._hosts)
+
+    def is_idle(self, backend_id: str) -> bool:
+        """Whether no attempt is in flight."""
+        return not self._in_flight[backend_id]
+
+    def started(self, backend_id: str) -> None:
+        """Count an attempt."""
+        self._in_flight[backend_id] += 1
+
+    def ended(self, backend_id: str) -> None:
+        """Count the end of an attempt."""
+        self._in_flight[backend_id] -= 1
+        if self.is_idle(backend_id):
+            self._in_flight.pop(backend_id)
+
+    def refused(self, backend_id: str, now: float) -> None:
+        """Note that a backend server accepted no connection."""
+        self._unreachable_until[backend_id] = now + UNREACHABLE_S
+
+    def forget(self, backend_id: str) -> None:
+        """Drop what is known of a backend server that left."""
+        self._unreachable_until.pop(backend_id, None)
+
+    def free(self, service: str, backend_ids: Iterable[str]) -> list[str]:
+        """Return the backend servers that may get one more attempt."""
+        allowance = self.allowance(service)
+        return [
+            backend_id
+            for backend_id in backend_ids
+            if self._in_flight[backend_id] < allowance
+        ]
+
+    def reachable(self, backend_ids: list[str], now: float) -> list[str]:
+        """Return those that accept connections, or all when none does."""
+        accepting = [
+            backend_id
+            for backend_id in backend_ids
+            if self._unreachable_until.get(backend_id, now) <= now
+        ]
+        return accepting or backend_ids
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -193,6 +193,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._response: h11.Response | None = None
         self._body = bytearray()
+        self._request_id = b''
         self._ended_as = limits.CallOutcome.FAILED
         self._closed = False
 
@@ -202,6 +203,7 @@
         attempt.connection = self
         work = attempt.leg.work
         self.answer_until = work.deadline + OVERDUE_S
+        self._request_id = work.message.request_id
         payload = self._serialize(work.message, work.deadline)
         attempt.sent = True
         try:
@@ -212,8 +214,9 @@
     async def run(self) -> None:
         """Read answers until the connection ends."""
         try:
-            while await self._receive():
-                continue
+            goes_on = True
+            while goes_on:
+                goes_on = await self._receive()
         except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
             self._closed = True
         finally:
@@ -283,7 +286,7 @@
     def _is_own(self, response: h11.Response) -> bool:
         """Tell whether a response belongs to the request that waits."""
         named = dict(response.headers).get(wire.REQUEST_ID)
-        return named in {None, self.attempt.leg.work.message.request_id}
+        return named in {None, self._request_id}
 
     async def _finish(self) -> bool:
         response, self._response = self._response, None
--- a/cardamomflow/platform/documents.py
+++ b/cardamomflow/platform/documents.py
@@ -11,6 +11,9 @@
 
 _MS = 1000
 _STATES = frozenset(('ready', 'draining'))
+# What reading a field of another type, or none, raises.
+_UNREADABLE = (ValueError, TypeError, KeyError, AttributeError)
+_IP_PARTS = 4
 _LOWEST_RANK = max(rules.Rank)
 
 
@@ -24,7 +27,7 @@
     """
     try:
         return _parse_routes(json.loads(content))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise errors.ProtocolViolation(
             f'the configuration can not be read: {error!r}'
         ) from error
@@ -34,7 +37,7 @@
     """Return a backend server, None when the entry names none."""
     try:
         return _parse_backend(backend_id, json.loads(content))
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except _UNREADABLE:
         return None
 
 
@@ -92,12 +95,12 @@
     backend_id: str, document: dict[str, Any]
 ) -> register.Backend | None:
     address, _, port = document['address'].rpartition(':')
+    texts = (document['service'], document['zone'])
+    counts = (document['slots'], document['sequence'], int(port))
     fits = (
-        isinstance(document['service'], str)
-        and isinstance(document['zone'], str)
-        and document['state'] in _STATES
-        and _is_count(document['slots'])
-        and _is_count(document['sequence'])
+        document['state'] in _STATES
+        and all(isinstance(text, str) for text in texts)
+        and all(map(_is_count, counts))
         and _is_ip(address)
     )
     if not fits:
@@ -119,4 +122,4 @@
 
 def _is_ip(address: str) -> bool:
     parts = address.split('.')
-    return len(parts) == 4 and all(part.isdigit() for part in parts)  # noqa: WPS432
+    return len(parts) == _IP_PARTS and all(part.isdigit() for part in parts)
--- a/cardamomflow/replicas.py
+++ b/cardamomflow/replicas.py
@@ -34,6 +34,7 @@
 # this much shorter. Traffic between zones costs the users money, and a zone
 # that may be cut off should not depend on others.
 REMOTE_FACTOR = 2
+NOBODY: Set[str] = frozenset()
 EJECTION_S = 5.0
 EJECTION_CAP_S = 60.0
 _GROWTH = 2
@@ -157,7 +158,7 @@
         candidates: Sequence[str],
         now: float,
         excluded: Collection[str] = (),
-        near: Set[str] = frozenset(),
+        near: Set[str] = NOBODY,
     ) -> str | None:
         """Return a candidate, or None when all are excluded.
 
@@ -187,14 +188,12 @@
         local = [backend_id for backend_id in warm if backend_id in near]
         if local and near.isdisjoint(drawn):
             drawn[0] = self._random.choice(local)
-        return min(
-            drawn,
-            key=lambda backend_id: (
-                self._replicas_by_id[backend_id].load(now)
-                * (1 if backend_id in near else REMOTE_FACTOR)
-            ),
-            default=None,
-        )
+
+        def cost(backend_id: str) -> float:
+            load = self._replicas_by_id[backend_id].load(now)
+            return load if backend_id in near else load * REMOTE_FACTOR
+
+        return min(drawn, key=cost, default=None)
 
     def started(self, backend_id: str, now: float) -> None:
         """Note that a call was sent."""
--- a/cardamomflow/routes.py
+++ b/cardamomflow/routes.py
@@ -126,7 +126,7 @@
         for route in routes:
             self._routes_by_host[route.host].append(route)
         for same_host in self._routes_by_host.values():
-            same_host.sort(key=lambda route: len(route.prefix), reverse=True)
+            same_host.sort(key=_prefix_length, reverse=True)
 
     def __len__(self) -> int:
         """Return the number of routes."""
@@ -141,9 +141,12 @@
 
     def services(self) -> set[str]:
         """Return the services that any route names."""
-        return {
-            service
-            for same_host in self._routes_by_host.values()
-            for route in same_host
-            for service in route.named_services()
-        }
+        named: set[str] = set()
+        for same_host in self._routes_by_host.values():
+            for route in same_host:
+                named.update(route.named_services())
+        return named
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -258,6 +258,7 @@
     """Serve until the process is ended."""
     handler = PlatformHandler(store_module.Store(), call_rate, write_rate)
     server = webserver.WebServer(address, port, handler)
+    server.bounds = serverconnection.Bounds(body_bytes=MAX_BODY_BYTES)
     click.echo(f'listening on {address}:{server.port}')
     await server.serve()
 
@@ -269,7 +270,6 @@
 @click.option('--write-rate', type=float, default=0, help='Writes per second.')
 def main(address: str, port: int, call_rate: float, write_rate: float) -> None:
     """Run the stand-in of the platform."""
-    serverconnection.MAX_BODY_BYTES = MAX_BODY_BYTES
     curio.run(serve, address, port, call_rate, write_rate)
 
 
--- /dev/null
+++ b/standins/users.py
@@ -0,0 +1,229 @@
+"""Stand-in of the users' platform: its store and a backend server.
+
+Speaks the published protocol as far as a host needs it. The store can be
+down, lose its history and take a host's entry away; a backend server can
+pause, break off, refuse and answer for another request.
+"""
+
+import base64
+import json
+import urllib.parse
+from typing import Any, NamedTuple
+
+import curio
+
+from cardamomflow import errors, webhandler
+from cardamomflow.platform import wire
+
+RECORD_BYTES = 16
+_LONGEST_POLL_S = 0.02
+
+
+class Item(NamedTuple):
+    """A stored value and its last change."""
+
+    value: bytes
+    revision: int
+    lease: int
+
+
+class Store(webhandler.RequestHandler):
+    """The platform's metadata store."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.is_down = False
+        self.calls: list[str] = []
+        self.items_by_key: dict[str, Item] = {}
+        self.leases: set[int] = set()
+        self._events: list[dict[str, Any]] = []
+        self._oldest = 1
+
+    def put(self, key: str, document: Any, lease: int = 0) -> None:
+        """Write as an operator or a backend server does."""
+        self.put_bytes(key, json.dumps(document).encode(), lease)
+
+    def put_bytes(self, key: str, value: bytes, lease: int = 0) -> None:
+        self.revision += 1
+        self.items_by_key[key] = Item(value, self.revision, lease)
+        self._events.append(self._render(key))
+
+    def remove(self, key: str) -> None:
+        """Remove an entry, as the end of its lease does."""
+        self.revision += 1
+        self.items_by_key.pop(key, None)
+        self._events.append(
+            {'key': key, 'revision': self.revision, 'removed': True}
+        )
+
+    def forget_history(self) -> None:
+        """Drop all events, so that watches have to list again."""
+        self._events.clear()
+        self._oldest = self.revision
+
+    async def handle(self, request: webhandler.Request) -> webhandler.Response:
+        target = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(target.query))
+        call = target.path.removeprefix('/api/')
+        self.calls.append(call)
+        if self.is_down:
+            raise errors.PlatformUnavailable('the store is down')
+        match call.partition('/')[0]:
+            case 'kv-key':
+                return self._read(query['key'])
+            case 'kv-range':
+                return self._list(query['prefix'])
+            case 'kv-watch':
+                return await self._watch(query)
+            case 'kv-lease':
+                return self._grant(request.json()['ttl_ms'])
+            case 'kv-keep':
+                return self._keep(int(call.partition('/')[2]))
+            case 'kv-txn':
+                return self._change(request.json())
+        raise errors.NotFound(call)
+
+    def _read(self, key: str) -> webhandler.Response:
+        if key not in self.items_by_key:
+            raise errors.NotFound(key)
+        return self._answer(self._render(key))
+
+    def _list(self, prefix: str) -> webhandler.Response:
+        keys = [key for key in self.items_by_key if key.startswith(prefix)]
+        return self._answer(
+            {
+                'items': [self._render(key) for key in sorted(keys)],
+                'has_more': False,
+            }
+        )
+
+    async def _watch(self, query: dict[str, str]) -> webhandler.Response:
+        after = int(query['after'])
+        polls = int(query['wait_ms']) / 1000 / _LONGEST_POLL_S
+        events: list[dict[str, Any]] = []
+        while not events and polls > 0 and not self.is_down:
+            if after < self._oldest:
+                return webhandler.Response(410, {'error': 'compacted'})
+            events = [
+                event
+                for event in self._events
+                if event['revision'] > after
+                and event['key'].startswith(query['prefix'])
+            ]
+            polls -= 1
+            if not events:
+                await curio.sleep(_LONGEST_POLL_S)
+        return self._answer({'events': events})
+
+    def _grant(self, ttl_ms: int) -> webhandler.Response:
+        lease = len(self.leases) + 1
+        self.leases.add(lease)
+        return self._answer({'lease': lease, 'ttl_ms': ttl_ms})
+
+    def _keep(self, lease: int) -> webhandler.Response:
+        if lease not in self.leases:
+            raise errors.NotFound(str(lease))
+        return self._answer({'ttl_ms': 1})
+
+    def _change(self, document: Any) -> webhandler.Response:
+        for row in document['puts']:
+            self.put_bytes(
+                row['key'], base64.b64decode(row['value']), row['lease']
+            )
+        return self._answer({'revision': self.revision})
+
+    def _render(self, key: str) -> dict[str, Any]:
+        found = self.items_by_key[key]
+        return {
+            'key': key,
+            'value': base64.b64encode(found.value).decode(),
+            'revision': found.revision,
+            'created': found.revision,
+            'lease': found.lease,
+        }
+
+    def _answer(self, document: dict[str, Any]) -> webhandler.Response:
+        return webhandler.Response(200, {**document, 'as_of': self.revision})
+
+
+class BackendServer(webhandler.RequestHandler):
+    """A backend server of one service."""
+
+    def __init__(self, backend_id: str, records: bytes) -> None:
+        self.backend_id = backend_id
+        self.records = records
+        self.pause_s: float = 0
+        self.refuses = False
+        self.answers_for: str | None = None
+        self.ran: list[webhandler.Request] = []
+
+    async def handle(self, request: webhandler.Request) -> webhandler.Response:
+        headers = request.headers
+        if headers[wire.BACKEND_ID.decode()] != self.backend_id:
+            return webhandler.Response(421, None, [], b'')
+        if self.refuses:
+            return webhandler.Response(503, None, [(wire.NOT_RUN, b'1')], b'')
+        self.ran.append(request)
+        if self.pause_s:
+            await curio.sleep(self.pause_s)
+        request_id = headers[wire.REQUEST_ID.decode()]
+        return webhandler.Response(
+            200,
+            None,
+            [
+                (wire.REQUEST_ID, self.answers_for or request_id),
+                (wire.STAMP, f'{self.backend_id}.{len(self.ran)}'),
+                (wire.LOAD, b'1,0,2'),
+            ],
+            self.records,
+        )
+
+
+def route_document(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        'name': name,
+        'host': 'shop.example',
+        'prefix': prefix,
+        'route_type': 'safe',
+        'timeout_ms': 2000,
+        'target_latency_ms': 500,
+        'priority': 0,
+        'attempts': 2,
+        **fields,
+    }
+
+
+def configuration_document(
+    version: int, routes: list[dict[str, Any]], services: list[str]
+) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        'version': version,
+        'routes': routes,
+        'services': [
+            {'name': name, 'health_check': '/health', 'max_connections': 20}
+            for name in services
+        ],
+        'limits': {
+            'max_header_bytes': 16_384,
+            'max_body_bytes': 100_000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15_000,
+        },
+    }
+
+
+def backend_document(service: str, port: int, **fields: Any) -> dict[str, Any]:
+    """Return the entry of a backend server."""
+    return {
+        'service': service,
+        'address': f'127.0.0.1:{port}',
+        'zone': 'z1',
+        'version': 'v1',
+        'slots': 2,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+        'sequence': 1,
+        **fields,
+    }
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -174,8 +174,8 @@
     def test_merge_takes_the_greatest_records_of_all_parts(self):
         """Guards against wrong order, lost repeats and cut records."""
         low, high = bytes(16), b'\xff' * 16
-        parts = [reply(body=low + high + b'rest'), reply(body=high)]
-        self.assertEqual(gathering.merge(parts, 3), high + high + low)
+        parts = [reply(body=b''.join((low, high, b'rest'))), reply(body=high)]
+        self.assertEqual(gathering.merge(parts, 3), b''.join((high, high, low)))
         self.assertEqual(gathering.merge(parts, 1), high)
 
 
@@ -330,6 +330,6 @@
     def test_connections_are_shared_by_the_hosts(self):
         """Guards against more connections than a backend server accepts."""
         world = World(('a',), connections=26, hosts=8)
-        self.assertEqual(world.dispatcher.allowance('a'), 3)
+        self.assertEqual(world.dispatcher.occupancy.allowance('a'), 3)
         world.dispatcher.share(dispatching.Sharing(40, 0.2, 0))
-        self.assertEqual(world.dispatcher.allowance('a'), 1)
+        self.assertEqual(world.dispatcher.occupancy.allowance('a'), 1)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -113,7 +113,9 @@
         self.call(scenario)
 
     @mock.patch.object(
-        serverconnection, 'MAX_BODY_BYTES', standin.MAX_BODY_BYTES
+        webserver.WebServer,
+        'bounds',
+        serverconnection.Bounds(body_bytes=standin.MAX_BODY_BYTES),
     )
     def test_largest_value_is_stored_and_read(self):
         """Guards against a limit on the way below the platform's own."""
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -122,22 +122,28 @@
         answer = self.answer_to(head + b'\r\n' + chunk * 5)
         self.assert_refused(answer, 413, 'body_too_large')
 
+    def bounded(self, **changes):
+        """Return a context in which the server has other bounds."""
+        return mock.patch.object(
+            self.server, 'bounds', serverconnection.Bounds(**changes)
+        )
+
     def test_slow_head(self):
         """Guards against a caller that holds a connection with half a head."""
-        with mock.patch.object(serverconnection, 'HEAD_TIMEOUT_S', 0.1):
+        with self.bounded(head_timeout_s=0.1):
             answer = self.answer_to(b'GET /ec')
         self.assert_refused(answer, 408, 'request_timeout')
 
     def test_slow_body(self):
         """Guards against a caller that sends a body byte by byte."""
         head = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n'
-        with mock.patch.object(serverconnection, 'BODY_TIMEOUT_S', 0.1):
+        with self.bounded(body_timeout_s=0.1):
             answer = self.answer_to(head, b'a', b'b', pause_s=0.04)
         self.assert_refused(answer, 408, 'request_timeout')
 
     def test_idle_connection_ends(self):
         """Guards against idle connections that stay for ever."""
-        with mock.patch.object(serverconnection, 'IDLE_TIMEOUT_S', 0.05):
+        with self.bounded(idle_timeout_s=0.05):
             self.assertEqual(self.answer_to(), b'')
         self.assertEqual(self.handler.failures, [])
 
