--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -167,6 +167,7 @@
     clean = await server.wait_idle(
         max(0, stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S)
     )
+    await program.transport.close()
     return _end(around, clean=clean and healthy)
 
 
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -208,6 +208,12 @@
     exit_status = exits.ExitStatus.UNAVAILABLE
 
 
+class HistoryLost(PlatformUnavailable):
+    """The platform does not keep the changes since a revision."""
+
+    code = 'history_lost'
+
+
 class OutcomeUnknown(FlowError):
     """The platform's answer was lost; the change may have taken effect."""
 
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -108,7 +108,7 @@
                     revision = await read()
                 else:
                     revision = await watch(revision)
-            except sources.HistoryLost as lost:
+            except errors.HistoryLost as lost:
                 revision = None
                 self._note_lost(name, lost)
             except errors.FlowError as error:
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -135,7 +135,7 @@
             self._changed_by_work.pop(work)
             ending = work.end()
             await self._cancel_if_left(work)
-        self._metrics.increment(f'host.{ending.name.lower()}')
+        self._metrics.increment(f'host.ended.{ending.name.lower()}')
         _check(work, ending)
         return work
 
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -118,6 +118,13 @@
             for connection in overdue:
                 await connection.close(limits.CallOutcome.TIMEOUT)
 
+    async def close(self) -> None:
+        """Close all connections; attempts end as cancelled."""
+        for backend_id in list(self._idle_by_id):
+            await self.close_idle(backend_id)
+        for connection in list(self._busy):
+            await connection.close()
+
     async def ended(
         self, connection: '_Connection', reply: gathering.Reply
     ) -> None:
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -138,7 +138,7 @@
         )
         reply = await self._channel.read(target, wait_s)
         if reply.status == http.HTTPStatus.GONE:
-            raise sources.HistoryLost(
+            raise errors.HistoryLost(
                 f'the changes after revision {revision} are not kept'
             )
         return reply.json()
--- a/cardamomflow/sources.py
+++ b/cardamomflow/sources.py
@@ -6,13 +6,7 @@
 import abc
 from typing import NamedTuple
 
-from cardamomflow import errors, register, routes
-
-
-class HistoryLost(errors.PlatformUnavailable):
-    """The changes since a revision are not kept any more; list again."""
-
-    code = 'history_lost'
+from cardamomflow import register, routes
 
 
 class Listed(NamedTuple):
@@ -64,7 +58,7 @@
 
         Raises
         ------
-        HistoryLost
+        errors.HistoryLost
             The routes have to be read again.
         """
 
@@ -78,7 +72,7 @@
 
         Raises
         ------
-        HistoryLost
+        errors.HistoryLost
             The list has to be read again.
         """
 
--- /dev/null
+++ b/tests/hostworld.py
@@ -0,0 +1,192 @@
+"""A host and the users' platform in one loop, over real sockets."""
+
+import contextlib
+import functools
+import json
+from typing import NamedTuple
+
+import curio
+import h11
+
+from cardamomflow import (
+    context,
+    following,
+    hosting,
+    links,
+    webserver,
+)
+from cardamomflow.platform import front, kvstore
+from standins import users
+from tests import loops
+
+RECORD_BYTES = 16
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def record(number):
+    """Return a record that sorts like its number."""
+    return number.to_bytes(RECORD_BYTES, 'big')
+
+
+class HostWorld:
+    """Owns the stand-ins and the host; use it in an `async with` block."""
+
+    def __init__(self, services=('a', 'b'), replicas=2):
+        self.store = users.Store()
+        self.backends_by_id = {}
+        self._ports_by_id = {}
+        self._services = services
+        self._replicas = replicas
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks = []
+
+    async def __aenter__(self):
+        self.store_server = webserver.WebServer('127.0.0.1', 0, self.store)
+        store_port = await self._serve(self.store_server)
+        for service in self._services:
+            for number in range(self._replicas):
+                await self.add_backend(f'{service}{number}', service)
+        self.publish(1)
+        settings = {
+            'process_id': 'host-1',
+            'host': {'id': 'host-1', 'region': 'r', 'availability_zone': 'z1'},
+            'retry_share': 1.0,
+            'retry_burst': 100,
+            'log': {'level': 'error'},
+        }
+        around = context.create(settings)
+        self.host = hosting.Host(around)
+        server = webserver.WebServer('127.0.0.1', 0, front.Front(self.host))
+        self.host.bounds_changed = functools.partial(setattr, server, 'bounds')
+        self.front_port = await self._serve(server)
+        self.ready_port = await self._serve(
+            webserver.WebServer('127.0.0.1', 0, front.Readiness(self.host))
+        )
+        self._store_client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
+        follower = following.Follower(
+            self._store_client,
+            self.host.directory,
+            self.host,
+            around,
+        )
+        for loop in (
+            self.host.transport.sweep,
+            follower.follow_routes,
+            follower.follow_backends,
+            follower.expire_backends,
+            functools.partial(follower.announce, 'host-1'),
+        ):
+            self._tasks.append(await curio.spawn(loop))
+        await loops.until(self._knows_all)
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self._tasks:
+            await task.cancel()
+        await self.host.transport.close()
+        await self._store_client.close()
+        await self._stack.aclose()
+
+    async def add_backend(self, backend_id, service):
+        """Start a backend server and list it."""
+        backend = users.BackendServer(backend_id, b'')
+        server = webserver.WebServer('127.0.0.1', 0, backend)
+        port = await self._serve(server)
+        self.backends_by_id[backend_id] = backend
+        self._ports_by_id[backend_id] = port
+        self.list_backend(backend_id, service)
+        return backend
+
+    def list_backend(self, backend_id, service, **fields):
+        port = self._ports_by_id[backend_id]
+        self.store.put(
+            f'servers/{backend_id}',
+            users.backend_document(service, port, **fields),
+        )
+
+    def publish(self, version, prefix='/lookup/'):
+        """Write a configuration with one route of each kind."""
+        services = list(self._services)
+        self.store.put(
+            'op/config',
+            users.configuration_document(
+                version,
+                [
+                    users.route_document(
+                        'lookup',
+                        prefix,
+                        gather=services,
+                        top_k=3,
+                        min_shard_ratio=0.5,
+                    ),
+                    users.route_document(
+                        'statement', '/statement/', service='a'
+                    ),
+                    users.route_document(
+                        'payment',
+                        '/payment/',
+                        service='a',
+                        route_type='unsafe',
+                    ),
+                ],
+                services,
+            ),
+        )
+
+    async def ask(self, target, method='GET', body=b'', **changes):
+        """Send one request on a connection of its own."""
+        headers = [
+            ('host', 'shop.example'),
+            ('x-request-id', changes.get('request_id', 'r1')),
+            ('x-request-deadline', str(changes.get('deadline_ms', 2000))),
+            ('content-length', str(len(body))),
+        ]
+        protocol = h11.Connection(h11.CLIENT)
+        sock = await links.open_socket(
+            '127.0.0.1', changes.get('port', self.front_port), 1.0
+        )
+        async with sock:
+            request = h11.Request(method=method, target=target, headers=headers)
+            await sock.sendall(protocol.send(request))
+            if body:
+                await sock.sendall(protocol.send(h11.Data(data=body)))
+            protocol.send(h11.EndOfMessage())
+            return await _read_answer(sock, protocol)
+
+    async def _serve(self, server):
+        return await self._stack.enter_async_context(loops.serving(server))
+
+    def _knows_all(self):
+        return self.host.ready and len(
+            self.host.directory.backends_by_id
+        ) == len(self.backends_by_id)
+
+
+async def _read_answer(sock, protocol):
+    response, body = None, b''
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await sock.recv(65_536))
+        elif isinstance(event, h11.Response):
+            response = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        else:
+            headers = {
+                name.decode(): content.decode()
+                for name, content in response.headers
+            }
+            return Answer(response.status_code, headers, body)
+
+
+def error_code(answer):
+    """Return the code of a refusal."""
+    return json.loads(answer.body)['error']['code']
--- /dev/null
+++ b/tests/test_hosting.py
@@ -0,0 +1,240 @@
+"""The host program against the users' platform, over real sockets."""
+
+import unittest
+
+import curio
+
+from tests import hostworld, loops
+
+
+class AnswerTest(unittest.TestCase):
+    def play(self, scenario, **shape):
+        async def run():
+            async with hostworld.HostWorld(**shape) as world:
+                return await scenario(world)
+
+        return loops.run(run)
+
+    def test_parts_are_merged_and_named(self):
+        """Guards against records that are lost, or parts that are not told."""
+
+        async def scenario(world):
+            for number, backend in enumerate(world.backends_by_id.values()):
+                backend.records = hostworld.record(number // 2)
+            return await world.ask('/lookup/x?q=1')
+
+        answer = self.play(scenario)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, hostworld.record(1) + hostworld.record(0))
+        self.assertEqual(answer.headers['x-missing-parts'], '0')
+        self.assertEqual(len(answer.headers['x-part-stamps'].split(',')), 2)
+
+    def test_request_arrives_as_it_was_sent(self):
+        """Guards against changed paths, bodies, ids and longer deadlines."""
+
+        async def scenario(world):
+            answer = await world.ask(
+                '/payment/x?q=%41', 'POST', b'pay', request_id='p7'
+            )
+            ran = [
+                request
+                for backend in world.backends_by_id.values()
+                for request in backend.ran
+            ]
+            return answer, ran
+
+        answer, (request,) = self.play(scenario)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers['x-request-id'], 'p7')
+        self.assertIn('x-response-seal', answer.headers)
+        self.assertEqual(request.method, 'POST')
+        self.assertEqual(request.path, '/payment/x?q=%41')
+        self.assertEqual(request.body, b'pay')
+        self.assertEqual(request.headers['x-request-id'], 'p7')
+        self.assertEqual(request.headers['host'], 'shop.example')
+        self.assertLessEqual(int(request.headers['x-request-deadline']), 2000)
+
+    def test_pausing_shard_is_left_out_at_the_target(self):
+        """Guards against a caller that waits for one shard."""
+
+        async def scenario(world):
+            for backend_id in ('b0', 'b1'):
+                world.backends_by_id[backend_id].pause_s = 5
+            return await world.ask('/lookup/x')
+
+        answer = self.play(scenario)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers['x-missing-parts'], '1')
+        self.assertEqual(len(answer.headers['x-part-stamps'].split(',')), 1)
+
+    def test_refused_payment_is_sent_to_another_backend_server(self):
+        """Guards against a payment that is lost to a full backend server."""
+
+        async def scenario(world):
+            world.backends_by_id['a0'].refuses = True
+            answers = [
+                await world.ask('/payment/x', 'POST', b'pay') for _ in range(6)
+            ]
+            return [answer.status for answer in answers]
+
+        self.assertEqual(set(self.play(scenario)), {200})
+
+    def test_payment_refused_by_all_is_not_run(self):
+        """Guards against an answer that leaves the caller in doubt."""
+
+        async def scenario(world):
+            for backend in world.backends_by_id.values():
+                backend.refuses = True
+            return await world.ask('/payment/x', 'POST', b'pay')
+
+        answer = self.play(scenario)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(hostworld.error_code(answer), 'no_replica')
+        self.assertGreater(float(answer.headers['retry-after']), 0)
+
+    def test_payment_without_an_answer_is_in_doubt(self):
+        """Guards against a promise of not run for a payment that runs."""
+
+        async def scenario(world):
+            for backend in world.backends_by_id.values():
+                backend.pause_s = 5
+            answer = await world.ask(
+                '/payment/x', 'POST', b'pay', deadline_ms=300
+            )
+            ran = sum(
+                len(backend.ran) for backend in world.backends_by_id.values()
+            )
+            return answer, ran
+
+        answer, ran = self.play(scenario)
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(ran, 1)
+
+    def test_answer_for_another_request_is_not_passed_on(self):
+        """Guards against a caller that gets what another one asked for."""
+
+        async def scenario(world):
+            world.backends_by_id['a0'].answers_for = 'other'
+            return [await world.ask('/statement/x') for _ in range(6)]
+
+        for answer in self.play(scenario):
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.headers['x-response-seal'].startswith('a1'))
+
+    def test_unknown_path_and_missing_id_are_refused(self):
+        """Guards against requests that go to some service by accident."""
+
+        async def scenario(world):
+            lost = await world.ask('/nowhere/x')
+            return lost, await world.ask('/lookup')
+
+        lost, short = self.play(scenario)
+        self.assertEqual((lost.status, short.status), (404, 404))
+
+
+class PlatformTest(unittest.TestCase):
+    def play(self, scenario):
+        async def run():
+            async with hostworld.HostWorld() as world:
+                return await scenario(world)
+
+        return loops.run(run)
+
+    def test_new_routes_are_in_force(self):
+        """Guards against routes that are only read at the start."""
+
+        async def scenario(world):
+            before = (await world.ask('/lookup/x')).status
+            world.publish(5, prefix='/search/')
+            await loops.until(
+                lambda: world.host._table.find('shop.example', '/search/x')
+            )
+            return before, (await world.ask('/search/x')).status
+
+        self.assertEqual(self.play(scenario), (200, 200))
+
+    def test_older_routes_never_come_back(self):
+        """Guards against a revision that goes back."""
+
+        async def scenario(world):
+            world.publish(5, prefix='/search/')
+            await loops.until(lambda: world.host._table.revision == 5)
+            world.publish(4)
+            world.list_backend('a0', 'a', sequence=2, state='draining')
+            await loops.until(
+                lambda: world.host.directory.usable('a') == ('a1',)
+            )
+            return (await world.ask('/search/x')).status
+
+        self.assertEqual(self.play(scenario), 200)
+
+    def test_leaving_backend_server_gets_no_more_work(self):
+        """Guards against work for a backend server that drains."""
+
+        async def scenario(world):
+            world.list_backend('a0', 'a', state='draining')
+            await loops.until(
+                lambda: world.host.directory.usable('a') == ('a1',)
+            )
+            for _ in range(5):
+                await world.ask('/statement/x')
+            return len(world.backends_by_id['a0'].ran)
+
+        self.assertEqual(self.play(scenario), 0)
+
+    def test_outage_of_the_store_changes_nothing(self):
+        """Guards against hosts that serve only while the store is up."""
+
+        async def scenario(world):
+            world.store.is_down = True
+            await curio.sleep(0.3)
+            during = (await world.ask('/lookup/x')).status
+            world.store.is_down = False
+            world.publish(9, prefix='/search/')
+            await loops.until(
+                lambda: world.host._table.find('shop.example', '/search/x')
+            )
+            return during, (await world.ask('/search/x')).status
+
+        self.assertEqual(self.play(scenario), (200, 200))
+
+    def test_lost_history_is_listed_again(self):
+        """Guards against changes that fell into the gap of a watch."""
+
+        async def scenario(world):
+            world.store.put('servers/a0', {'service': 7})
+            world.store.put('hosts/other', '')
+            world.store.forget_history()
+            await loops.until(
+                lambda: world.host.directory.usable('a') == ('a1',)
+            )
+            return (await world.ask('/statement/x')).status
+
+        self.assertEqual(self.play(scenario), 200)
+
+    def test_host_lists_itself_again(self):
+        """Guards against hosts that count too few and share too much."""
+
+        async def scenario(world):
+            await loops.until(
+                lambda: 'hosts/host-1' in world.store.items_by_key
+            )
+            world.store.remove('hosts/host-1')
+            await loops.until(
+                lambda: 'hosts/host-1' in world.store.items_by_key, 10
+            )
+            return True
+
+        self.assertTrue(self.play(scenario))
+
+    def test_readiness_follows_the_routes(self):
+        """Guards against callers that are sent to a host without routes."""
+
+        async def scenario(world):
+            port = world.ready_port
+            first = await world.ask('/api/ready', port=port)
+            world.host.stopping = True
+            second = await world.ask('/api/ready', port=port)
+            return first.status, second.status
+
+        self.assertEqual(self.play(scenario), (200, 503))
