Leave a full backend server alone for a moment

Cause: a backend server that refused a request was asked as often as before, and each refusal took a token of the budget of repeats.

Change: a backend server that refused work gets none for 0.1 s while another one is there.

Ruled out: a larger budget, since the rule bounds it.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -144,7 +144,9 @@
             self._chooser.report(attempt.backend_id, *reply.load, 0, now)
         if reply.misdirected:
             self._directory.misdirected(attempt.backend_id)
-        if not reply.not_run:
+        if reply.not_run:
+            self.occupancy.refused_work(attempt.backend_id, now)
+        else:
             leg.may_have_run = True
         if not leg.is_settled:
             self._take(leg, reply, now)
@@ -160,7 +162,7 @@
         leg = attempt.leg
         self._settle(attempt, outcome, now)
         if outcome is limits.CallOutcome.REFUSED_CONNECTION:
-            self.occupancy.refused(attempt.backend_id, now)
+            self.occupancy.refused_connection(attempt.backend_id, now)
             leg.asked.remove(attempt.backend_id)
             leg.avoided.add(attempt.backend_id)
             if not leg.is_settled:
--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -12,6 +12,9 @@
 # since the platform lists a crashed one for seconds, and one that comes back
 # is wanted at once.
 UNREACHABLE_S = 0.5
+# Time without new work for a backend server that refused a request: its queue
+# is full, and a request that it refuses again uses up the budget of repeats.
+FULL_S = 0.1
 
 
 class Occupancy:
@@ -51,10 +54,15 @@
         if self.is_idle(backend_id):
             self._in_flight.pop(backend_id)
 
-    def refused(self, backend_id: str, now: float) -> None:
+    def refused_connection(self, backend_id: str, now: float) -> None:
         """Note that a backend server accepted no connection."""
         self._unreachable_until[backend_id] = now + UNREACHABLE_S
 
+    def refused_work(self, backend_id: str, now: float) -> None:
+        """Note that a backend server is full."""
+        until = self._unreachable_until.get(backend_id, now)
+        self._unreachable_until[backend_id] = max(until, now + FULL_S)
+
     def forget(self, backend_id: str) -> None:
         """Drop what is known of a backend server that left."""
         self._unreachable_until.pop(backend_id, None)
@@ -69,7 +77,7 @@
         ]
 
     def reachable(self, backend_ids: list[str], now: float) -> list[str]:
-        """Return those that accept connections, or all when none does."""
+        """Return those that refused nothing lately, or all."""
         accepting = [
             backend_id
             for backend_id in backend_ids
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -220,6 +220,24 @@
         world.dispatcher.answered(first, reply(503, not_run=True), 0.01)
         self.assertEqual(len(world.sends()), 1)
 
+    def test_full_backend_server_is_left_alone_for_a_while(self):
+        """Guards against refusals that use up the budget of repeats."""
+        world = World(('a',), extra_share=0, extra_burst=0)
+        first = None
+        for number in range(20):
+            work = world.start(make_payment(), now=number / 1000)
+            (attempt,) = world.sends()
+            full = first is None or attempt.backend_id == first
+            first = first or attempt.backend_id
+            world.dispatcher.answered(
+                attempt,
+                reply(503 if full else 200, not_run=full),
+                number / 1000,
+            )
+            for second in world.sends():
+                world.dispatcher.answered(second, reply(), number / 1000)
+            self.assertIs(work.end(), gathering.Ending.ANSWERED)
+
     def test_unreachable_backend_server_costs_no_budget(self):
         """Guards against a crash that uses up the budget of repeats."""
         world = World(('a',), extra_share=0, extra_burst=0)
