Leave a backend server alone that broke a request off

Cause: a backend server that fails at once looked fastest, since only whole answers teach its latency, and it got every request of a host until the fifth failure ejected it.

Change: after a failure a backend server gets no work for 1 s, after a refusal for 0.25 s, while another one is there.

Ruled out: learning the latency of failures, which would make a backend server with many slow failures look like a slow one for seconds after its return.

--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -14,7 +14,11 @@
 UNREACHABLE_S = 0.5
 # Time without new work for a backend server that refused a request: its queue
 # is full, and a request that it refuses again uses up the budget of repeats.
-FULL_S = 0.1
+# A host sends about six requests a second to a shard.
+FULL_S = 0.25
+# The same for one that broke a request off. It would look fastest otherwise,
+# and get every request until it is ejected.
+FAILED_S = 1.0
 
 
 class Occupancy:
@@ -56,12 +60,19 @@
 
     def refused_connection(self, backend_id: str, now: float) -> None:
         """Note that a backend server accepted no connection."""
-        self._unreachable_until[backend_id] = now + UNREACHABLE_S
+        self._leave_alone(backend_id, now + UNREACHABLE_S)
 
     def refused_work(self, backend_id: str, now: float) -> None:
         """Note that a backend server is full."""
-        until = self._unreachable_until.get(backend_id, now)
-        self._unreachable_until[backend_id] = max(until, now + FULL_S)
+        self._leave_alone(backend_id, now + FULL_S)
+
+    def failed(self, backend_id: str, now: float) -> None:
+        """Note that a backend server broke a request off."""
+        self._leave_alone(backend_id, now + FAILED_S)
+
+    def _leave_alone(self, backend_id: str, until: float) -> None:
+        known = self._unreachable_until.get(backend_id, until)
+        self._unreachable_until[backend_id] = max(known, until)
 
     def forget(self, backend_id: str) -> None:
         """Drop what is known of a backend server that left."""
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -238,6 +238,25 @@
                 world.dispatcher.answered(second, reply(), number / 1000)
             self.assertIs(work.end(), gathering.Ending.ANSWERED)
 
+    def test_backend_server_that_breaks_off_is_left_alone(self):
+        """Guards against a backend server that fails fast and looks fastest."""
+        world = World(('a',), extra_burst=100)
+        failures = 0
+        for number in range(20):
+            now = number / 50
+            world.start(make_route('a'), now=now)
+            for attempt in world.sends():
+                if attempt.backend_id == 'a0':
+                    failures += 1
+                    world.dispatcher.failed(
+                        attempt, limits.CallOutcome.FAILED, now + 0.001
+                    )
+                else:
+                    world.dispatcher.answered(attempt, reply(), now + 0.01)
+            for attempt in world.sends():
+                world.dispatcher.answered(attempt, reply(), now + 0.01)
+        self.assertEqual(failures, 1)
+
     def test_unreachable_backend_server_costs_no_budget(self):
         """Guards against a crash that uses up the budget of repeats."""
         world = World(('a',), extra_share=0, extra_burst=0)
