Leave callers to other zones while a zone is cut off

Cause: in a zone that is cut off every request waited for backend servers that can't be reached and failed at its deadline.

Change: a zone of which three backend servers asked have not answered for 0.5 s, and which accepts no connection, counts as silent. Requests that can't reach their minimum share without it are refused at once with Retry-After. A host that can't serve some route is not ready and lets its responses end their connections, so that the platform sends its callers to the nearest zone. Silent zones are probed every 0.2 s.

Ruled out: telling a cut from the store alone, which may refuse a host that reaches all backend servers.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -18,6 +18,7 @@
     hedging,
     limits,
     occupancy,
+    reachability,
     replicas,
     routes,
     rules,
@@ -80,6 +81,7 @@
         )
         self._sharing = Sharing(1, 0, 0)
         self.occupancy = occupancy.Occupancy()
+        self.reachability = reachability.Reachability()
         self._extra_by_service: dict[str, extraload.ExtraLoad] = {}
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._sequence = itertools.count()
@@ -99,6 +101,14 @@
         for budget in self._extra_by_service.values():
             budget.resize(sharing.extra_share, sharing.burst_of_host)
 
+    def can_serve(self, services: Sequence[str], needed: int) -> bool:
+        """Tell whether enough services have a zone that answers."""
+        served = sum(
+            any(map(self._is_reachable, self._directory.usable(service)))
+            for service in services
+        )
+        return served >= needed
+
     def take_sends(self) -> list[gathering.Attempt]:
         """Return the attempts to send since the last call."""
         sends, self._sends = self._sends, []
@@ -128,10 +138,6 @@
                 self._hedge(leg, now)
         return next_at
 
-    def end(self, work: gathering.Work) -> list[gathering.Attempt]:
-        """Return the attempts of an ended request that are still open."""
-        return [attempt for leg in work.legs for attempt in leg.open_attempts]
-
     # What backend servers answer.
 
     def answered(
@@ -139,6 +145,7 @@
     ) -> None:
         """Take a whole answer."""
         leg = attempt.leg
+        self.reachability.heard(attempt.availability_zone)
         self._settle(attempt, _outcome_of(reply), now)
         if reply.load is not None:
             self._chooser.report(attempt.backend_id, *reply.load, 0, now)
@@ -255,7 +262,9 @@
         backend_id = self._chooser.choose(free, now, near=self._near(free))
         if backend_id is None:
             return False
-        attempt = gathering.Attempt(leg, backend_id, now)
+        zone = self._directory.backends_by_id[backend_id].availability_zone
+        self.reachability.asked(zone, backend_id, now)
+        attempt = gathering.Attempt(leg, backend_id, zone, now)
         leg.asked.append(backend_id)
         leg.open_attempts.append(attempt)
         self.occupancy.started(backend_id)
@@ -263,6 +272,10 @@
         self._sends.append(attempt)
         return True
 
+    def _is_reachable(self, backend_id: str) -> bool:
+        backend = self._directory.backends_by_id[backend_id]
+        return not self.reachability.is_silent(backend.availability_zone)
+
     def _near(self, backend_ids: Iterable[str]) -> set[str]:
         """Return the backend servers of the own availability zone."""
         backends_by_id = self._directory.backends_by_id
@@ -279,7 +292,9 @@
         listed = [
             backend_id
             for backend_id in self._directory.usable(leg.service)
-            if backend_id not in leg.asked and backend_id not in leg.avoided
+            if backend_id not in leg.asked
+            and backend_id not in leg.avoided
+            and self._is_reachable(backend_id)
         ]
         return self.occupancy.reachable(listed, now)
 
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -7,7 +7,6 @@
 
 import enum
 import heapq
-import math
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
@@ -20,8 +19,6 @@
 # Kept back from the caller's deadline for the same.
 DEADLINE_RESERVE_S = 0.02
 MAX_RESERVE_SHARE = 0.25
-# Error of a share times a number of shards.
-ROUNDING = 1e-9
 
 
 class Load(NamedTuple):
@@ -127,11 +124,25 @@
 class Attempt:
     """A request sent to one backend server."""
 
-    __slots__ = ('leg', 'backend_id', 'started_at', 'connection', 'sent')
+    __slots__ = (
+        'leg',
+        'backend_id',
+        'availability_zone',
+        'started_at',
+        'connection',
+        'sent',
+    )
 
-    def __init__(self, leg: Leg, backend_id: str, started_at: float) -> None:
+    def __init__(
+        self,
+        leg: Leg,
+        backend_id: str,
+        availability_zone: str,
+        started_at: float,
+    ) -> None:
         self.leg = leg
         self.backend_id = backend_id
+        self.availability_zone = availability_zone
         self.started_at = started_at
         # Set by the transport, which alone uses it.
         self.connection: Any = None
@@ -183,8 +194,7 @@
         self.ended = False
         self.answered = 0
         self.failed = 0
-        least = route.minimum_share if route.merges else 1
-        self.needed = max(1, math.ceil(least * len(self.legs) - ROUNDING))
+        self.needed = route.needed_parts
 
     def is_finished(self, now: float) -> bool:
         """Whether the answer has to leave now."""
@@ -200,6 +210,10 @@
         """Yield the legs that may still be answered."""
         return (leg for leg in self.legs if not leg.is_settled)
 
+    def open_attempts(self) -> list[Attempt]:
+        """Return the attempts that have not ended."""
+        return [attempt for leg in self.legs for attempt in leg.open_attempts]
+
     def accept(self, leg: Leg, reply: Reply) -> None:
         """Take the part of a leg."""
         leg.reply = reply
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -32,6 +32,13 @@
 # Retry-After of a request that no backend server can take. Callers wait at
 # most a third of the time that they have left.
 COME_BACK_S = 0.25
+# Time between looks at silent zones, and for an answer to a probe.
+ZONE_CHECK_S = 0.2
+# One backend server may have crashed without a word.
+PROBED_BACKENDS = 2
+# The platform takes a host that is not ready out of its rotation after two
+# answers, a second apart.
+LEAVE_ROTATION_S = 2.2
 
 
 class Host(front.Tier, backendlink.Events, following.Listener):
@@ -40,6 +47,7 @@
     def __init__(self, around: context.Context) -> None:
         """Start without routes and without backend servers."""
         self.stopping = False
+        self.turn_away: Callable[[bool], None] = _ignore
         self.bounds_changed: Callable[[serverconnection.Bounds], None] = _ignore
         self.directory = directory.Directory()
         self._context = around
@@ -55,6 +63,7 @@
             self.directory.backends_by_id, self, around.clock
         )
         self._changed_by_work: dict[gathering.Work, curio.Event] = {}
+        self._is_cut_off = False
         self._hosts = 0
         self._hosts_until = float('-inf')
         self._share_with(ASSUMED_HOSTS)
@@ -101,7 +110,8 @@
     @property
     def ready(self) -> bool:
         """Whether new callers should come here."""
-        return self._table is not None and not self.stopping
+        known = self._table is not None
+        return known and not self.stopping and not self._is_cut_off
 
     def failed(self, error: errors.FlowError) -> None:
         """Count a request that failed."""
@@ -136,9 +146,69 @@
             ending = work.end()
             await self._cancel_if_left(work)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
-        _check(work, ending)
+        _check(work, ending, self._come_back_s())
         return work
 
+    def _come_back_s(self) -> float:
+        """Return when a caller should ask again.
+
+        A host that is cut off leaves the platform's rotation by then, and the
+        caller reaches another zone.
+        """
+        silent_since = self._dispatcher.reachability.silent_since()
+        if not self._is_cut_off or silent_since is None:
+            return COME_BACK_S
+        left_s = silent_since + LEAVE_ROTATION_S - self._clock()
+        return max(COME_BACK_S, left_s)
+
+    # What zones can be reached.
+
+    async def watch_zones(self) -> None:
+        """Find zones that fell silent and that are back, until cancelled."""
+        reachability = self._dispatcher.reachability
+        while True:
+            await curio.sleep(ZONE_CHECK_S)
+            suspects = reachability.check(self._clock())
+            suspects.extend(reachability.silent_zones)
+            for zone in set(suspects):
+                await curio.spawn(self._probe, zone, daemon=True)
+            self._judge_isolation()
+
+    async def _probe(self, zone: str) -> None:
+        """Ask backend servers of a silent zone for a connection."""
+        backends = [
+            backend
+            for backend in self.directory.backends_by_id.values()
+            if backend.availability_zone == zone
+        ]
+        count = min(PROBED_BACKENDS, len(backends))
+        for backend in self._context.random.sample(backends, count):
+            if await self.transport.accepts(backend, ZONE_CHECK_S):
+                if self._dispatcher.reachability.heard(zone):
+                    self._context.journal.info('zone answers', zone=zone)
+                return
+        if self._dispatcher.reachability.lost(zone, self._clock()):
+            self._context.journal.warning('zone silent', zone=zone)
+
+    def _judge_isolation(self) -> None:
+        """Leave the callers to other zones while requests can't be served."""
+        before, self._is_cut_off = self._is_cut_off, self._is_isolated()
+        if self._is_cut_off != before:
+            self.turn_away(self._is_cut_off)
+            self._context.journal.warning(
+                'cut off' if self._is_cut_off else 'connected again',
+                silent_zones=sorted(self._dispatcher.reachability.silent_zones),
+            )
+
+    def _is_isolated(self) -> bool:
+        silent = self._dispatcher.reachability.silent_since() is not None
+        if self._table is None or not silent:
+            return False
+        return any(
+            not self._dispatcher.can_serve(services, needed)
+            for services, needed in self._table.needs()
+        )
+
     async def _run(self, work: gathering.Work, changed: curio.Event) -> None:
         self._dispatcher.start(work, self._clock())
         await self._send()
@@ -187,7 +257,7 @@
         """
         if work.is_finished(self._clock()) and work.answered >= work.needed:
             return
-        for attempt in self._dispatcher.end(work):
+        for attempt in work.open_attempts():
             await self.transport.cancel(attempt)
 
     def _share_with(self, hosts: int) -> None:
@@ -201,11 +271,13 @@
         )
 
 
-def _ignore(bounds: serverconnection.Bounds) -> None:
-    """Stand in until there is a server that takes the bounds."""
+def _ignore(_: Any) -> None:
+    """Stand in until there is a server to tell."""
 
 
-def _check(work: gathering.Work, ending: gathering.Ending) -> None:
+def _check(
+    work: gathering.Work, ending: gathering.Ending, come_back_s: float
+) -> None:
     """Raise what a caller is told instead of an answer."""
     if not work.route.merges and work.legs[0].failure is not None:
         return
@@ -213,7 +285,7 @@
     told = ', '.join(sorted(reasons)) or 'no answer in time'
     match ending:
         case gathering.Ending.NOT_RUN:
-            raise errors.NoReplica(told, retry_after_s=COME_BACK_S)
+            raise errors.NoReplica(told, retry_after_s=come_back_s)
         case gathering.Ending.FAILED:
             raise errors.BackendFailed(told)
         case gathering.Ending.LATE:
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -100,6 +100,19 @@
         if attempt.connection is not None:
             await attempt.connection.close()
 
+    async def accepts(
+        self, backend: register.Backend, timeout_s: float
+    ) -> bool:
+        """Tell whether a backend server accepts a connection."""
+        try:
+            sock = await links.open_socket(
+                backend.address, backend.port, timeout_s
+            )
+        except errors.ConnectFailed:
+            return False
+        await sock.close()
+        return True
+
     async def close_idle(self, backend_id: str) -> None:
         """Close the idle connections to a backend server that left."""
         for connection in self._idle_by_id.pop(backend_id, ()):
--- a/cardamomflow/routes.py
+++ b/cardamomflow/routes.py
@@ -5,12 +5,16 @@
 """
 
 import collections
+import math
 import random as random_module
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from cardamomflow import rules
 
+# Error of a share times a number of shards.
+ROUNDING = 1e-9
+
 
 class Share(NamedTuple):
     """A service and its part of the requests of a route."""
@@ -66,6 +70,12 @@
         """Whether answers of several shards are merged."""
         return bool(self.shards)
 
+    @property
+    def needed_parts(self) -> int:
+        """Parts of which an answer has to consist at least."""
+        least = self.minimum_share * len(self.shards)
+        return max(1, math.ceil(least - ROUNDING))
+
     def services(self, generator: random_module.Random) -> tuple[str, ...]:
         """Return the services that one request asks."""
         if self.shards:
@@ -139,6 +149,14 @@
                 return route
         return None
 
+    def needs(self) -> set[tuple[tuple[str, ...], int]]:
+        """Return the services that requests ask, and how many must answer."""
+        return {
+            (route.named_services(), route.needed_parts)
+            for same_host in self._routes_by_host.values()
+            for route in same_host
+        }
+
     def services(self) -> set[str]:
         """Return the services that any route names."""
         named: set[str] = set()
--- a/cardamomflow/webserver.py
+++ b/cardamomflow/webserver.py
@@ -40,6 +40,7 @@
         self._listener = listen(address, port)
         self.port: int = self._listener.getsockname()[1]
         self._stopping = False
+        self._turns_away = False
         self._closed = False
         self._connections: set[serverconnection.Connection] = set()
 
@@ -66,7 +67,11 @@
     @property
     def stopping(self) -> bool:
         """Whether responses announce the end of their connection."""
-        return self._stopping
+        return self._stopping or self._turns_away
+
+    def turn_away(self, turns_away: bool) -> None:
+        """Let responses end their connections, or no longer."""
+        self._turns_away = turns_away
 
     @property
     def connections(self) -> int:
