Count a failure as a slow answer, and pause before a call after a failure

A call to the store right after a reset met a connection that was not accepted for a second, so that returned backend servers were used a second late.

Change: a failure teaches a latency of twice the slowest peer's. A full backend server is left alone for 0.05 s. There is a pause of 0.1 to 0.4 s before each call after a failure.

Ruled out: no penalty at all, since the fastest failure then gets all work until its ejection; exclusion of 0.1 s, which helps no host that sends six requests a second.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -155,8 +155,6 @@
             self.occupancy.refused_work(attempt.backend_id, now)
         else:
             leg.may_have_run = True
-            if not reply.succeeded:
-                self.occupancy.failed(attempt.backend_id, now)
         if not leg.is_settled:
             self._take(leg, reply, now)
         self._pump(leg.service, now)
@@ -178,7 +176,6 @@
                 self._place(leg, now)
         else:
             leg.may_have_run = True
-            self.occupancy.failed(attempt.backend_id, now)
             if not leg.is_settled:
                 self._repeat(leg, outcome.name.lower(), now)
         self._pump(leg.service, now)
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -22,7 +22,7 @@
 # Waits between calls that fail: enough for a store that answers in
 # milliseconds, and few calls of a whole fleet against one that is down.
 RETRY_MINIMUM_S = 0.1
-RETRY_MAXIMUM_S = 0.5
+RETRY_MAXIMUM_S = 0.4
 EXPIRY_INTERVAL_S = 0.25
 HOST_TTL_S = 10.0
 ANNOUNCE_INTERVAL_S = 3.0
@@ -71,7 +71,6 @@
         """Keep routes and backend servers up to date until cancelled."""
         revision: int | None = None
         while True:
-            asked_at = self._clock()
             try:
                 revision = await self._take_next(revision)
             except errors.HistoryLost as lost:
@@ -80,7 +79,11 @@
             except errors.FlowError as error:
                 self._note_lost('store', error)
                 self._directory.outage(self._clock())
-                await self._pause(asked_at)
+                # A call at once may fall into the same disturbance: after a
+                # reset, a new connection was not accepted for a second.
+                await curio.sleep(
+                    self._random.uniform(RETRY_MINIMUM_S, RETRY_MAXIMUM_S)
+                )
             else:
                 self._note_regained('store')
 
@@ -103,11 +106,6 @@
                 await self._listener.hosts_counted(hosts)
             await curio.sleep(ANNOUNCE_INTERVAL_S)
 
-    async def _pause(self, asked_at: float) -> None:
-        """Wait before the next call, unless the failure took long itself."""
-        pause_s = self._random.uniform(RETRY_MINIMUM_S, RETRY_MAXIMUM_S)
-        await curio.sleep(max(0, asked_at + pause_s - self._clock()))
-
     async def _take_next(self, revision: int | None) -> int:
         if revision is None:
             news = await self._source.read()
--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -14,11 +14,9 @@
 UNREACHABLE_S = 0.5
 # Time without new work for a backend server that refused a request: its queue
 # is full, and a request that it refuses again uses up the budget of repeats.
-# A host sends about six requests a second to a shard.
-FULL_S = 0.25
-# The same for one that broke a request off. It would look fastest otherwise,
-# and get every request until it is ejected.
-FAILED_S = 1.0
+# With 0.25 s, and 1 s after a failure, the other replica of a loaded shard got
+# more than it could take.
+FULL_S = 0.05
 
 
 class Occupancy:
@@ -66,10 +64,6 @@
         """Note that a backend server is full."""
         self._leave_alone(backend_id, now + FULL_S)
 
-    def failed(self, backend_id: str, now: float) -> None:
-        """Note that a backend server broke a request off."""
-        self._leave_alone(backend_id, now + FAILED_S)
-
     def _leave_alone(self, backend_id: str, until: float) -> None:
         known = self._unreachable_until.get(backend_id, until)
         self._unreachable_until[backend_id] = max(known, until)
--- a/cardamomflow/replicas.py
+++ b/cardamomflow/replicas.py
@@ -34,6 +34,10 @@
 # this much shorter. Traffic between zones costs the users money, and a zone
 # that may be cut off should not depend on others.
 REMOTE_FACTOR = 2
+# A failure counts as an answer that took this much longer than the slowest
+# peer's. One that fails at once would look fastest otherwise and get all work
+# until its ejection; leaving it alone overloads the others.
+FAILURE_FACTOR = 2
 NOBODY: Set[str] = frozenset()
 EJECTION_S = 5.0
 EJECTION_CAP_S = 60.0
@@ -101,6 +105,11 @@
         self._latency_s = latency_s
         self._latency_at = now
 
+    def learn_failure(self, latency_s: float, now: float) -> None:
+        """Take a failure as an answer that took at least this long."""
+        self._latency_s = max(self.latency_s(now), latency_s)
+        self._latency_at = now
+
     def learn_report(self, load: float, now: float) -> None:
         self._hint = load
         self._hint_at = now
@@ -230,6 +239,10 @@
             return
         failed = outcome in _ERRORS
         replica.learn_outcome(failed, now)
+        if failed:
+            replica.learn_failure(
+                FAILURE_FACTOR * self._slowest_s(replica, now), now
+            )
         if failed and self._should_eject(backend_id, replica, now):
             replica.eject(now)
         elif not failed and now > replica.ramp_from + RAMP_S:
@@ -321,6 +334,17 @@
             self._replicas_by_id[backend_id] = replica
         return replica
 
+    def _slowest_s(self, replica: _Replica, now: float) -> float:
+        """Return the longest latency of the peers of a replica."""
+        return max(
+            (
+                self._replicas_by_id[peer].latency_s(now)
+                for peer in replica.peers
+                if peer in self._replicas_by_id
+            ),
+            default=INITIAL_LATENCY_S,
+        )
+
     def _note_candidates(self, candidates: Sequence[str], now: float) -> None:
         for backend_id in candidates:
             replica = self._replica(backend_id, now)
