--- a/cardamomflow/commands.py
+++ b/cardamomflow/commands.py
@@ -5,6 +5,7 @@
 
 import functools
 import inspect
+import itertools
 import json
 import pathlib
 import secrets
@@ -29,6 +30,7 @@
     platform,
     publications,
     publishing,
+    requestcauses,
     settings,
 )
 from cardamomflow.platform import httpclient
@@ -287,6 +289,8 @@
 @_command(
     'explain',
     'explain --service lots --work lot-history --settings operator.yaml',
+    options.EXPLAINED_ID,
+    options.LOGS,
     options.TARGET,
     options.WORK,
     options.RANK,
@@ -295,6 +299,28 @@
     options.LOCAL_RULES,
 )
 def explain(
+    request_id: str | None,
+    logs: tuple[Any, ...],
+    target: str | None,
+    **kind: Any,
+) -> None:
+    """Explain how one request ended, or how a kind of request is treated.
+
+    With a request id, reads the log lines of host processes from files or
+    standard input, and tells the cause in the last line. With --service,
+    reads the published configuration, or local files when both are given.
+    """
+    if request_id is None and target is None:
+        raise click.UsageError('give a request id, or --service')
+    if request_id is None:
+        _explain_kind(target, **kind)
+        return
+    lines = itertools.chain.from_iterable(logs or (sys.stdin,))
+    for line in requestcauses.explain(request_id, lines):
+        click.echo(line)
+
+
+def _explain_kind(
     target: str,
     work: str | None,
     rank: str | None,
@@ -302,10 +328,6 @@
     register_path: pathlib.Path | None,
     rules_path: pathlib.Path | None,
 ) -> None:
-    """Explain how a request of a given kind is treated, and why.
-
-    Reads the published configuration, or local files when both are given.
-    """
     if work is None and rank is None:
         raise click.UsageError('give --work or --rank, as the request does')
     if register_path is not None and rules_path is not None:
--- a/cardamomflow/context.py
+++ b/cardamomflow/context.py
@@ -1,13 +1,14 @@
 """Context object of a process: what would otherwise be global."""
 
 import random
+import sys
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import logbook
 
-from cardamomflow import journal, telemetry, tracing
+from cardamomflow import journal, logoutput, telemetry, tracing
 
 
 class Context(NamedTuple):
@@ -18,6 +19,7 @@
     settings : dict
         Checked settings of the program.
     journal : logbook.Logger
+    log_output : logoutput.LogOutput
     metrics : telemetry.Metrics
     tracer : tracing.Tracer
     random : random.Random
@@ -27,6 +29,7 @@
 
     settings: Any
     journal: logbook.Logger
+    log_output: logoutput.LogOutput
     metrics: telemetry.Metrics
     tracer: tracing.Tracer
     random: random.Random
@@ -38,11 +41,15 @@
     process_id = settings['process_id']
     generator = random.Random()  # noqa: S311  # not used for secrets
     trace_settings = settings.get('tracing', {})
+    log_output = logoutput.LogOutput(sys.stdout.fileno())
     return Context(
         settings=settings,
         journal=journal.create(
-            process_id, settings.get('log', {}).get('level', 'info')
+            process_id,
+            settings.get('log', {}).get('level', 'info'),
+            log_output,
         ),
+        log_output=log_output,
         metrics=telemetry.create(settings.get('metrics')),
         tracer=tracing.Tracer(
             process_id,
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -153,6 +153,7 @@
         readiness.serve,
         program.transport.sweep,
         program.watch_zones,
+        program.summarise,
         follower.follow,
         follower.expire_backends,
         functools.partial(follower.announce, settings['host']['id']),
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -41,6 +41,10 @@
     ) -> None:
         """Take changes of the list of backend servers."""
 
+    @abc.abstractmethod
+    def platform_heard(self) -> None:
+        """Note that the platform answered."""
+
     @abc.abstractmethod
     async def hosts_counted(self, hosts: int) -> None:
         """Take the number of hosts."""
@@ -86,6 +90,7 @@
                 )
             else:
                 self._note_regained('store')
+                self._listener.platform_heard()
 
     async def expire_backends(self) -> None:
         """Drop lapsed entries when their time is over, until cancelled."""
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -18,6 +18,7 @@
     following,
     gathering,
     limits,
+    requestlog,
     routes,
     serverconnection,
 )
@@ -34,6 +35,7 @@
 COME_BACK_S = 0.25
 # Time between looks at silent zones, and for an answer to a probe.
 ZONE_CHECK_S = 0.2
+_MS = 1000
 # One backend server may have crashed without a word.
 PROBED_BACKENDS = 2
 # The platform takes a host that is not ready out of its rotation after two
@@ -64,6 +66,8 @@
         )
         self._changed_by_work: dict[gathering.Work, curio.Event] = {}
         self._is_cut_off = False
+        self.platform_heard_at = around.clock()
+        self._request_log = requestlog.RequestLog(around.journal, around.clock)
         self._hosts = 0
         self._hosts_until = float('-inf')
         self._share_with(ASSUMED_HOSTS)
@@ -93,6 +97,10 @@
                 await self.transport.close_idle(change.backend_id)
         await self._send()
 
+    def platform_heard(self) -> None:
+        """Note that the platform answered."""
+        self.platform_heard_at = self._clock()
+
     async def hosts_counted(self, hosts: int) -> None:
         """Take the number of hosts that share connections and budgets.
 
@@ -146,9 +154,32 @@
             ending = work.end()
             await self._cancel_if_left(work)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
+        self._log_request(work, ending)
         _check(work, ending, self._come_back_s())
         return work
 
+    def _log_request(
+        self, work: gathering.Work, ending: gathering.Ending
+    ) -> None:
+        now = self._clock()
+        self._request_log.ended(
+            work,
+            ending,
+            work.message.request_id.decode('latin-1'),
+            routes_revision=self._table.revision if self._table else None,
+            platform_age_ms=round((now - self.platform_heard_at) * _MS),
+            silent_zones=sorted(self._dispatcher.reachability.silent_zones),
+        )
+
+    async def summarise(self) -> None:
+        """Log sums and lost lines at intervals until cancelled."""
+        while True:
+            await curio.sleep(requestlog.SUMMARY_INTERVAL_S)
+            self._request_log.summarise()
+            dropped = self._context.log_output.take_dropped()
+            if dropped:
+                self._context.journal.warning('log lines lost', lines=dropped)
+
     def _come_back_s(self) -> float:
         """Return when a caller should ask again.
 
--- a/cardamomflow/journal.py
+++ b/cardamomflow/journal.py
@@ -1,7 +1,8 @@
 """Structured log: one JSON object a line on standard output.
 
-Lines are written for changes of state only; everything that happens often
-is a counter, see `telemetry`.
+Lines are written for changes of state, and by `requestlog` for requests that
+did not end whole and in time; everything else that happens often is a
+counter, see `telemetry`.
 """
 
 import json
--- a/cardamomflow/options.py
+++ b/cardamomflow/options.py
@@ -63,7 +63,6 @@
 )
 TARGET = click.Option(
     ['--service', 'target'],
-    required=True,
     help='Service or index that the request names.',
 )
 WORK = click.Option(['--work'], help='Kind of work that the request names.')
@@ -90,3 +89,5 @@
     help='Settings file of the operator, in YAML.',
 )
 REQUEST_ID = click.Argument(['request_id'])
+EXPLAINED_ID = click.Argument(['request_id'], required=False)
+LOGS = click.Argument(['logs'], type=click.File(), nargs=-1, metavar='[LOG]...')
--- /dev/null
+++ b/tests/test_requestlog.py
@@ -0,0 +1,203 @@
+"""Log lines of requests, and what they tell."""
+
+import json
+import os
+import subprocess
+import sys
+import unittest
+from unittest import mock
+
+from click import testing
+
+from cardamomflow import (
+    commands,
+    limits,
+    logoutput,
+    requestcauses,
+    requestlog,
+)
+from tests import test_dispatching
+
+FLOOD = """
+import json, sys, time
+from cardamomflow import journal, logoutput
+output = logoutput.LogOutput(sys.stdout.fileno())
+log = journal.create('host-1', 'info', output)
+started_at = time.monotonic()
+for number in range(20_000):
+    log.info('flood', number=number)
+took_s = time.monotonic() - started_at
+print(json.dumps([took_s, output.take_dropped()]), file=sys.stderr)
+"""
+
+
+class RequestLogTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.journal = mock.Mock()
+        self.log = requestlog.RequestLog(self.journal, lambda: self.now)
+        self.world = test_dispatching.World()
+
+    def lines(self):
+        return [call.kwargs for call in self.journal.info.call_args_list]
+
+    def end(self, work, request_id='r1'):
+        self.log.ended(
+            work,
+            work.end(),
+            request_id,
+            routes_revision=7,
+            platform_age_ms=120,
+            silent_zones=[],
+        )
+
+    def fail(self, route):
+        """End a request whose backend servers all fail."""
+        work = self.world.start(route)
+        sent = self.world.sends()
+        while sent:
+            for attempt in sent:
+                self.world.dispatcher.failed(
+                    attempt, limits.CallOutcome.FAILED, 0.0
+                )
+            sent = self.world.sends()
+        return work
+
+    def test_whole_answer_in_time_is_only_counted(self):
+        """Guards against lines that cost more than the requests."""
+        work = self.world.start(test_dispatching.make_route())
+        for attempt in self.world.sends():
+            self.world.dispatcher.answered(
+                attempt, test_dispatching.reply(), 0.0
+            )
+        self.end(work)
+        self.assertEqual(self.lines(), [])
+        self.log.summarise()
+        self.assertEqual(self.lines()[0]['ended'], {'answered': 1})
+
+    def test_payment_always_has_its_line(self):
+        """Guards against a payment in doubt that left no trace."""
+        for number in range(500):
+            self.end(self.fail(test_dispatching.make_payment()), f'p{number}')
+        named = {line['request_id'] for line in self.lines()}
+        self.assertEqual(len(named), 500)
+
+    def test_flood_of_failures_is_bounded_and_counted(self):
+        """Guards against a log that takes the processor in a flood."""
+        for _ in range(500):
+            self.end(self.fail(test_dispatching.make_route()))
+        self.assertEqual(len(self.lines()), requestlog.BURST_LINES)
+        self.log.summarise()
+        summary = self.lines()[-1]
+        self.assertEqual(sum(summary['ended'].values()), 500)
+        self.assertEqual(sum(summary['left_out'].values()), 400)
+
+    def test_line_names_what_was_missing(self):
+        """Guards against a partial answer without a reason."""
+        work = self.world.start(test_dispatching.make_route())
+        first, second = self.world.sends()
+        self.world.dispatcher.answered(first, test_dispatching.reply(), 0.0)
+        self.now = work.answer_at
+        self.end(work)
+        (line,) = self.lines()
+        self.assertEqual(line['ending'], 'partial')
+        (part,) = line['open']
+        self.assertEqual(part['service'], second.leg.service)
+        self.assertEqual(part['open'][0]['backend_id'], second.backend_id)
+
+
+class CauseTest(unittest.TestCase):
+    def explain(self, request_id, *documents, prefix=''):
+        lines = [f'{prefix}{json.dumps(document)}' for document in documents]
+        return requestcauses.explain(request_id, lines)
+
+    def document(self, **changes):
+        return {
+            'event': requestlog.EVENT,
+            'request_id': 'r1',
+            'ending': 'partial',
+            'open': [
+                {
+                    'service': 'lots',
+                    'reason': 'no_answer',
+                    'unreachable': ['i8'],
+                    'open': [{'backend_id': 'i9', 'for_ms': 91.5}],
+                }
+            ],
+            **changes,
+        }
+
+    def test_cause_is_the_last_line(self):
+        """Guards against an engineer who has to guess."""
+        told = self.explain('r1', self.document(), prefix='  3.1 host-1 ')
+        self.assertEqual(
+            told[-1],
+            'cause: lots did not answer within the target (no_answer)',
+        )
+        self.assertIn('    i9: no answer for 91.5 ms', told)
+
+    def test_cut_zone_is_part_of_the_cause(self):
+        """Guards against a cut that looks like failing backend servers."""
+        told = self.explain(
+            'r1', self.document(ending='not_run', silent_zones=['z2'])
+        )
+        self.assertTrue(told[-1].endswith('zones without answers: z2'))
+
+    def test_missing_line_says_what_is_not_known(self):
+        """Guards against an invented cause when lines are missing."""
+        told = self.explain(
+            'r2',
+            self.document(),
+            {'event': requestlog.SUMMARY_EVENT, 'left_out': {'partial': 3}},
+        )
+        self.assertEqual(len(told), 1)
+        self.assertIn('not known', told[0])
+        self.assertIn('3 lines that were left out', told[0])
+
+    def test_broken_lines_are_left_out(self):
+        """Guards against a log cut off by a kill that can't be read."""
+        lines = ['{"request_id": "r1"', 'text', '[]', '{}']
+        self.assertEqual(requestcauses.parse(lines), [{}])
+
+    def test_command_reads_standard_input(self):
+        """Guards against a command that needs the fleet to be up."""
+        finished = testing.CliRunner().invoke(
+            commands.operator,
+            ['explain', 'r1'],
+            input=json.dumps(self.document()),
+        )
+        self.assertEqual(finished.exit_code, 0, finished.output)
+        self.assertIn('cause: lots', finished.output)
+
+
+class StuckReaderTest(unittest.TestCase):
+    def test_reader_that_stops_costs_lines_and_no_time(self):
+        """Guards against a host that stops with the collector of its log."""
+        reader, writer = os.pipe()
+        with (
+            os.fdopen(reader, 'rb'),
+            os.fdopen(writer, 'wb') as output,
+            subprocess.Popen(
+                [sys.executable, '-c', FLOOD],
+                stdout=output,
+                stderr=subprocess.PIPE,
+            ) as flooding,
+        ):
+            _, told = flooding.communicate(timeout=60)
+        took_s, dropped = json.loads(told)
+        self.assertGreater(dropped, 10_000)
+        self.assertLess(took_s, 30)
+
+    def test_lines_go_on_when_the_reader_is_back(self):
+        """Guards against a log that stays silent after a pause."""
+        reader, writer = os.pipe()
+        with os.fdopen(reader, 'rb'), os.fdopen(writer, 'wb'):
+            output = logoutput.LogOutput(writer)
+            for _ in range(2000):
+                output.write(f'{"x" * 99}\n')
+            received = os.read(reader, 1_000_000)
+            output.flush()
+            received += os.read(reader, 1_000_000)
+        self.assertEqual(set(received.split(b'\n')[:-2]), {b'x' * 99})
+        self.assertEqual(output.dropped, 0)
+        self.assertGreater(len(received), 65_536)
