Log each request that did not end whole and in time

'cardamomflow explain REQUEST-ID' tells the cause from files or standard input, and what can't be known without a line. The watch over zones is a module of its own.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -144,7 +144,7 @@
     readiness = webserver.WebServer(
         *authorities.split(settings['readiness']), front.Readiness(program)
     )
-    program.turn_away = server.turn_away
+    program.zones.turn_away = server.turn_away
     program.bounds_changed = functools.partial(setattr, server, 'bounds')
     follower = following.Follower(store, program.directory, program, around)
     supervisor = shutdown.Supervisor(around.journal)
@@ -152,7 +152,7 @@
         server.serve,
         readiness.serve,
         program.transport.sweep,
-        program.watch_zones,
+        program.zones.run,
         program.summarise,
         follower.follow,
         follower.expire_backends,
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -21,6 +21,7 @@
     requestlog,
     routes,
     serverconnection,
+    zonewatch,
 )
 from cardamomflow.platform import backendlink, front
 
@@ -33,11 +34,7 @@
 # Retry-After of a request that no backend server can take. Callers wait at
 # most a third of the time that they have left.
 COME_BACK_S = 0.25
-# Time between looks at silent zones, and for an answer to a probe.
-ZONE_CHECK_S = 0.2
 _MS = 1000
-# One backend server may have crashed without a word.
-PROBED_BACKENDS = 2
 # The platform takes a host that is not ready out of its rotation after two
 # answers, a second apart.
 LEAVE_ROTATION_S = 2.2
@@ -49,7 +46,6 @@
     def __init__(self, around: context.Context) -> None:
         """Start without routes and without backend servers."""
         self.stopping = False
-        self.turn_away: Callable[[bool], None] = _ignore
         self.bounds_changed: Callable[[serverconnection.Bounds], None] = _ignore
         self.directory = directory.Directory()
         self._context = around
@@ -65,7 +61,9 @@
             self.directory.backends_by_id, self, around.clock
         )
         self._changed_by_work: dict[gathering.Work, curio.Event] = {}
-        self._is_cut_off = False
+        self.zones = zonewatch.ZoneWatch(
+            around, self.directory, self._dispatcher, self.transport
+        )
         self.platform_heard_at = around.clock()
         self._request_log = requestlog.RequestLog(around.journal, around.clock)
         self._hosts = 0
@@ -78,6 +76,7 @@
         """Put the routes of a newer revision in force."""
         self._table = table
         self._dispatcher.apply(table)
+        self.zones.apply(table)
         self.bounds_changed(
             serverconnection.Bounds(
                 head_bytes=table.limits.head_bytes,
@@ -119,12 +118,16 @@
     def ready(self) -> bool:
         """Whether new callers should come here."""
         known = self._table is not None
-        return known and not self.stopping and not self._is_cut_off
+        return known and not self.stopping and not self.zones.is_cut_off
 
     def failed(self, error: errors.FlowError) -> None:
         """Count a request that failed."""
         self._metrics.increment(f'host.failed.{error.code}')
 
+    def refused(self, request_id: str, error: errors.FlowError) -> None:
+        """Log a request that no service was chosen for."""
+        self._request_log.refused(request_id, error, **self._knowledge())
+
     def route(self, host: str, path: str) -> routes.Route:
         """Return the route of a request."""
         if self._table is None:
@@ -161,16 +164,22 @@
     def _log_request(
         self, work: gathering.Work, ending: gathering.Ending
     ) -> None:
-        now = self._clock()
         self._request_log.ended(
             work,
             ending,
             work.message.request_id.decode('latin-1'),
-            routes_revision=self._table.revision if self._table else None,
-            platform_age_ms=round((now - self.platform_heard_at) * _MS),
-            silent_zones=sorted(self._dispatcher.reachability.silent_zones),
+            **self._knowledge(),
         )
 
+    def _knowledge(self) -> dict[str, Any]:
+        """Return what the host knows, with its age."""
+        age_s = self._clock() - self.platform_heard_at
+        return {
+            'routes_revision': self._table.revision if self._table else None,
+            'platform_age_ms': round(age_s * _MS),
+            'silent_zones': sorted(self._dispatcher.reachability.silent_zones),
+        }
+
     async def summarise(self) -> None:
         """Log sums and lost lines at intervals until cancelled."""
         while True:
@@ -187,59 +196,11 @@
         caller reaches another zone.
         """
         silent_since = self._dispatcher.reachability.silent_since()
-        if not self._is_cut_off or silent_since is None:
+        if not self.zones.is_cut_off or silent_since is None:
             return COME_BACK_S
         left_s = silent_since + LEAVE_ROTATION_S - self._clock()
         return max(COME_BACK_S, left_s)
 
-    # What zones can be reached.
-
-    async def watch_zones(self) -> None:
-        """Find zones that fell silent and that are back, until cancelled."""
-        reachability = self._dispatcher.reachability
-        while True:
-            await curio.sleep(ZONE_CHECK_S)
-            suspects = reachability.check(self._clock())
-            suspects.extend(reachability.silent_zones)
-            for zone in set(suspects):
-                await curio.spawn(self._probe, zone, daemon=True)
-            self._judge_isolation()
-
-    async def _probe(self, zone: str) -> None:
-        """Ask backend servers of a silent zone for a connection."""
-        backends = [
-            backend
-            for backend in self.directory.backends_by_id.values()
-            if backend.availability_zone == zone
-        ]
-        count = min(PROBED_BACKENDS, len(backends))
-        for backend in self._context.random.sample(backends, count):
-            if await self.transport.accepts(backend, ZONE_CHECK_S):
-                if self._dispatcher.reachability.heard(zone):
-                    self._context.journal.info('zone answers', zone=zone)
-                return
-        if self._dispatcher.reachability.lost(zone, self._clock()):
-            self._context.journal.warning('zone silent', zone=zone)
-
-    def _judge_isolation(self) -> None:
-        """Leave the callers to other zones while requests can't be served."""
-        before, self._is_cut_off = self._is_cut_off, self._is_isolated()
-        if self._is_cut_off != before:
-            self.turn_away(self._is_cut_off)
-            self._context.journal.warning(
-                'cut off' if self._is_cut_off else 'connected again',
-                silent_zones=sorted(self._dispatcher.reachability.silent_zones),
-            )
-
-    def _is_isolated(self) -> bool:
-        silent = self._dispatcher.reachability.silent_since() is not None
-        if self._table is None or not silent:
-            return False
-        return any(
-            not self._dispatcher.can_serve(services, needed)
-            for services, needed in self._table.needs()
-        )
-
     async def _run(self, work: gathering.Work, changed: curio.Event) -> None:
         self._dispatcher.start(work, self._clock())
         await self._send()
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -41,6 +41,10 @@
             There is no answer.
         """
 
+    @abc.abstractmethod
+    def refused(self, request_id: str, error: errors.FlowError) -> None:
+        """Note a request that no service was chosen for."""
+
     @property
     @abc.abstractmethod
     def ready(self) -> bool:
@@ -66,12 +70,16 @@
         """Answer one request."""
         headers = request.headers
         host = headers.get('host', '').rpartition(':')
-        route = self._tier.route(
-            (host[0] or host[2]).lower(), request.path.partition('?')[0]
-        )
         request_id = headers.get(wire.REQUEST_ID.decode())
         if request_id is None:
             raise errors.BadRequest('the request has no id')
+        try:
+            route = self._tier.route(
+                (host[0] or host[2]).lower(), request.path.partition('?')[0]
+            )
+        except errors.FlowError as error:
+            self._tier.refused(request_id, error)
+            raise
         work = await self._tier.answer(
             route, _message(request, request_id), _patience_s(headers)
         )
--- a/cardamomflow/requestcauses.py
+++ b/cardamomflow/requestcauses.py
@@ -57,6 +57,11 @@
 
 
 def _tree(document: dict[str, Any]) -> list[str]:
+    if document.get('event') == requestlog.REFUSED_EVENT:
+        return [
+            f'{document.get("time")} {document.get("process")}: refused'
+            f' before any service was chosen'
+        ]
     lines = [
         f'{document.get("time")} {document.get("process")}: '
         f'{document.get("ending")} after {document.get("took_ms")} ms,'
@@ -67,7 +72,10 @@
         f' {document.get("platform_age_ms")} ms ago'
     ]
     for part in document.get('open', []):
-        lines.append(f'{_INDENT}{part["service"]}: {part["reason"]}')
+        asked = ', '.join(part['asked']) or 'nobody'
+        lines.append(
+            f'{_INDENT}{part["service"]}: {part["reason"]}; asked {asked}'
+        )
         lines.extend(
             f'{_INDENT * 2}{attempt["backend_id"]}: no answer for'
             f' {attempt["for_ms"]} ms'
@@ -87,19 +95,17 @@
     where = f'; zones without answers: {", ".join(silent)}' if silent else ''
     reasons = ', '.join(sorted({part['reason'] for part in parts}))
     services = ', '.join(part['service'] for part in parts)
-    match document.get('ending'):
-        case 'partial':
-            return (
-                f'{services} did not answer within the target'
-                f' ({reasons}){where}'
-            )
-        case 'not_run':
-            return f'nothing was sent: {reasons} at {services}{where}'
-        case 'failed':
-            return f'{reasons} at {services}, and no attempt was left{where}'
-        case 'late':
-            return f'the deadline passed: {reasons} at {services}{where}'
-        case 'answered_late':
-            return 'the answer was whole, later than its target'
-        case _:
-            return 'none; the request was answered whole and in time'
+    causes_by_ending = {
+        'partial': (
+            f'{services} did not answer within the target ({reasons}){where}'
+        ),
+        'not_run': f'nothing was sent: {reasons} at {services}{where}',
+        'failed': f'{reasons} at {services}, and no attempt was left{where}',
+        'late': f'the deadline passed: {reasons} at {services}{where}',
+        'answered_late': 'the answer was whole, later than its target',
+        'refused': f'{document.get("code")}: {document.get("message")}',
+    }
+    return causes_by_ending.get(
+        document.get('ending', ''),
+        'none; the request was answered whole and in time',
+    )
--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -10,9 +10,10 @@
 
 import logbook
 
-from cardamomflow import gathering
+from cardamomflow import errors, gathering
 
 EVENT = 'request ended'
+REFUSED_EVENT = 'request refused'
 SUMMARY_EVENT = 'requests summarised'
 # A line costs about 50 us and 500 bytes; a host answers about 20 requests/s.
 LINES_PER_S = 20.0
@@ -77,6 +78,23 @@
             **knowledge,
         )
 
+    def refused(
+        self, request_id: str, error: errors.FlowError, **knowledge: Any
+    ) -> None:
+        """Log a request that was refused before any service was chosen."""
+        self._counts[error.code] += 1
+        if not self._take_token(self._clock()):
+            self._left_out[error.code] += 1
+            return
+        self._journal.info(
+            REFUSED_EVENT,
+            request_id=request_id,
+            ending='refused',
+            code=error.code,
+            message=error.message,
+            **knowledge,
+        )
+
     def summarise(self) -> None:
         """Log how many requests ended how, and the lines left out."""
         if self._counts:
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -78,7 +78,7 @@
         )
         for loop in (
             self.host.transport.sweep,
-            self.host.watch_zones,
+            self.host.zones.run,
             follower.follow,
             follower.expire_backends,
             functools.partial(follower.announce, 'host-1'),
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -1,9 +1,14 @@
 """Zones that fall silent, in virtual time."""
 
+import random
+import time
 import unittest
+from unittest import mock
 
-from cardamomflow import gathering, reachability
-from tests import test_dispatching
+import curio
+
+from cardamomflow import gathering, reachability, routes, zonewatch
+from tests import loops, test_dispatching
 
 
 class SilenceTest(unittest.TestCase):
@@ -57,6 +62,49 @@
         self.assertEqual(self.reachability.check(4.1), [])
 
 
+class _Transport:
+    """Accepts connections to the zones that are reached."""
+
+    def __init__(self):
+        self.reached = {'z1', 'z2'}
+
+    async def accepts(self, backend, timeout_s):
+        return backend.availability_zone in self.reached
+
+
+class ZoneWatchTest(unittest.TestCase):
+    def test_host_leaves_the_rotation_and_comes_back(self):
+        """Guards against callers that stay at a host that is cut off."""
+        world = test_dispatching.World()
+        for service in 'cde':
+            world.directory.listed(
+                test_dispatching.make_backend(
+                    f'{service}0', service, availability_zone='z2'
+                )
+            )
+        around = mock.Mock(clock=time.monotonic, random=random.Random(1))
+        transport = _Transport()
+        watch = zonewatch.ZoneWatch(
+            around, world.directory, world.dispatcher, transport
+        )
+        told = []
+        watch.turn_away = told.append
+        route = test_dispatching.make_route('acde', minimum_share=1)
+        watch.apply(routes.RouteTable(1, [route], {}, None))
+
+        async def scenario():
+            watching = await curio.spawn(watch.run)
+            transport.reached.remove('z2')
+            world.start(route, now=time.monotonic())
+            await loops.until(lambda: watch.is_cut_off)
+            transport.reached.add('z2')
+            await loops.until(lambda: not watch.is_cut_off)
+            await watching.cancel()
+
+        loops.run(scenario)
+        self.assertEqual(told, [True, False])
+
+
 class CutZoneTest(unittest.TestCase):
     def cut_world(self):
         """Return a world in which zone z2 has not answered for a second."""
--- a/tests/test_requestlog.py
+++ b/tests/test_requestlog.py
@@ -11,6 +11,7 @@
 
 from cardamomflow import (
     commands,
+    errors,
     limits,
     logoutput,
     requestcauses,
@@ -92,6 +93,14 @@
         self.assertEqual(sum(summary['ended'].values()), 500)
         self.assertEqual(sum(summary['left_out'].values()), 400)
 
+    def test_refusal_has_its_line(self):
+        """Guards against a caller that was told 503 without a trace."""
+        self.log.refused('r1', errors.NotReady('no routes'), silent_zones=[])
+        (line,) = self.lines()
+        self.assertEqual(
+            (line['request_id'], line['code']), ('r1', 'not_ready')
+        )
+
     def test_line_names_what_was_missing(self):
         """Guards against a partial answer without a reason."""
         work = self.world.start(test_dispatching.make_route())
@@ -120,6 +129,7 @@
                 {
                     'service': 'lots',
                     'reason': 'no_answer',
+                    'asked': ['i9'],
                     'unreachable': ['i8'],
                     'open': [{'backend_id': 'i9', 'for_ms': 91.5}],
                 }
@@ -143,6 +153,20 @@
         )
         self.assertTrue(told[-1].endswith('zones without answers: z2'))
 
+    def test_refusal_before_any_service_has_its_cause(self):
+        """Guards against a 503 of a starting host that nobody explains."""
+        told = self.explain(
+            'r1',
+            {
+                'event': requestlog.REFUSED_EVENT,
+                'request_id': 'r1',
+                'ending': 'refused',
+                'code': 'not_ready',
+                'message': 'no routes are known yet',
+            },
+        )
+        self.assertEqual(told[-1], 'cause: not_ready: no routes are known yet')
+
     def test_missing_line_says_what_is_not_known(self):
         """Guards against an invented cause when lines are missing."""
         told = self.explain(
