Start the work of a test after the first look at the zones

Cause: the first look takes a process for one that was stopped and forgets what was asked, so that the test of a host that is cut off never saw it.

--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -94,6 +94,9 @@
 
         async def scenario():
             watching = await curio.spawn(watch.run)
+            # The first look takes the process for one that was stopped.
+            reached = world.dispatcher.reachability
+            await loops.until(lambda: reached._checked_at > 0)
             transport.reached.remove('z2')
             world.start(route, now=time.monotonic())
             await loops.until(lambda: watch.is_cut_off)
