--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # compiles every module again, which doubles its processor time.
 export PYTHONDONTWRITEBYTECODE =
 
-.PHONY: demo test bench promises lint format generate check-generated lock setup
+.PHONY: demo test bench promises days hunt lint format generate check-generated lock setup
 
 setup: $(STAMP)
 
@@ -51,6 +51,12 @@
 promises: $(STAMP)
 	$(PYTHON) -m tools.suite --promises
 
+days: $(STAMP)
+	$(PYTHON) -m tests.playdays days
+
+hunt: $(STAMP)
+	$(PYTHON) -m tests.playdays hunt $(SITE) --days $(or $(DAYS),40)
+
 lock:
 	cd requirements && ../$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe --no-emit-index-url --no-emit-find-links --strip-extras -o installer.txt installer.in
 	cd requirements && ../$(VENV)/bin/pip-compile --quiet --generate-hashes --no-emit-index-url --no-emit-find-links --strip-extras -o runtime.txt runtime.in
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -117,7 +117,15 @@
     # What callers ask.
 
     def start(self, work: gathering.Work, now: float) -> None:
-        """Ask one backend server of each service."""
+        """Ask one backend server of each service.
+
+        Nobody is asked when too few services can be reached.
+        """
+        services = [leg.service for leg in work.legs]
+        if not self.can_serve(services, work.needed):
+            for unserved in work.legs:
+                work.give_up(unserved, 'no_backend_server')
+            return
         for leg in work.legs:
             self._extra(leg.service).first_sent()
             self._place(leg, now)
--- a/cardamomflow/requestcauses.py
+++ b/cardamomflow/requestcauses.py
@@ -7,6 +7,7 @@
 from cardamomflow import requestlog
 
 _INDENT = '  '
+SHOWN_SERVICES = 5
 
 
 def parse(lines: Iterable[str]) -> list[dict[str, Any]]:
@@ -88,13 +89,20 @@
     return lines
 
 
+def _join(names: list[str]) -> str:
+    """Return the first names, and how many more there are."""
+    shown = ', '.join(names[:SHOWN_SERVICES])
+    more = len(names) - SHOWN_SERVICES
+    return f'{shown} and {more} more' if more > 0 else shown
+
+
 def _cause(document: dict[str, Any]) -> str:
     """Return the cause in one line."""
     parts = document.get('open', [])
     silent = document.get('silent_zones')
     where = f'; zones without answers: {", ".join(silent)}' if silent else ''
     reasons = ', '.join(sorted({part['reason'] for part in parts}))
-    services = ', '.join(part['service'] for part in parts)
+    services = _join([part['service'] for part in parts])
     causes_by_ending = {
         'partial': (
             f'{services} did not answer within the target ({reasons}){where}'
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -139,6 +139,7 @@
         work = world.start(
             test_dispatching.make_route(minimum_share=1), now=1.0
         )
+        self.assertEqual(world.sends(), [])
         self.assertTrue(work.is_finished(1.0))
         self.assertIs(work.end(), gathering.Ending.NOT_RUN)
 
