Repeat a request whose send failed, and keep connected backend servers

Cause: an attempt whose send failed on a closed connection counted as cancelled, so that its request was never repeated and waited for its deadline. A connection that was opened for an attempt nobody waits for any more counted as refused, and its backend server got no work for 0.5 s. Both found by reading.

Change: a failed send is a failure; the unneeded attempt is cancelled. A request that waits without candidates, but with an open attempt, blocks no other. The attempts of a request whose caller left are stopped unless it has enough parts.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -190,7 +190,7 @@
 
     def cancelled(self, attempt: gathering.Attempt, now: float) -> None:
         """Take the end of an attempt that nobody waits for."""
-        attempt.leg.may_have_run = True
+        attempt.leg.may_have_run |= attempt.sent
         self._settle(attempt, limits.CallOutcome.CANCELLED, now)
         self._pump(attempt.leg.service, now)
 
@@ -332,10 +332,10 @@
             leg = waiting[0].leg
             if not leg.is_settled:
                 candidates = self._candidates(leg, now)
-                if not candidates and not leg.open_attempts:
-                    leg.work.give_up(leg, 'no_backend_server')
-                elif not self._send(leg, candidates, now):
+                if candidates and not self._send(leg, candidates, now):
                     return
+                if not leg.open_attempts:
+                    leg.work.give_up(leg, 'no_backend_server')
             heapq.heappop(waiting)
             leg.waiting = False
 
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -247,7 +247,7 @@
         Those of an answered request may go on: they end by themselves, and
         closing their connections costs new ones.
         """
-        if work.is_finished(self._clock()) and work.answered >= work.needed:
+        if work.answered >= work.needed:
             return
         for attempt in work.open_attempts():
             await self.transport.cancel(attempt)
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -7,6 +7,7 @@
 
 import abc
 import http
+import socket
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -177,11 +178,13 @@
             return
         connection = _Connection(sock, backend, self, self._clock)
         if attempt.leg.is_settled:
-            # Nothing was sent, and the connection serves the next attempt.
+            # Another attempt was faster; the connection serves the next one.
             self._idle_by_id.setdefault(backend.backend_id, []).append(
                 connection
             )
-            await self._events.failed_attempt(attempt, refused)
+            await self._events.failed_attempt(
+                attempt, limits.CallOutcome.CANCELLED
+            )
         else:
             await self._start(connection, attempt)
         await connection.run()
@@ -229,7 +232,7 @@
         try:
             await self._sock.sendall(payload)
         except OSError:
-            await self.close()
+            await self.close(limits.CallOutcome.FAILED)
 
     async def run(self) -> None:
         """Read answers until the connection ends."""
@@ -252,7 +255,7 @@
         self.usable_until = float('-inf')
         self._ended_as = outcome
         try:
-            await self._sock.shutdown(2)  # noqa: WPS432  # both ways
+            await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -364,6 +364,21 @@
         (second,) = world.sends()
         self.assertIs(second.leg.work, urgent)
 
+    def test_waiting_request_without_candidates_blocks_nobody(self):
+        """Guards against requests behind one that nobody can serve."""
+        world = World(('a',), connections=1)
+        first = world.start(make_route('a'))
+        world.start(make_route('a'))
+        world.sends()
+        stuck = world.start(make_route('a'))
+        stuck.legs[0].avoided.update(('a0', 'a1'))
+        behind = world.start(make_route('a'))
+        (attempt,) = first.open_attempts()
+        world.dispatcher.answered(attempt, reply(), 0.01)
+        (sent,) = world.sends()
+        self.assertIs(sent.leg.work, behind)
+        self.assertTrue(stuck.is_finished(0.01))
+
     def test_connections_are_shared_by_the_hosts(self):
         """Guards against more connections than a backend server accepts."""
         world = World(('a',), connections=26, hosts=8)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1,6 +1,7 @@
 """The host program against the users' platform, over real sockets."""
 
 import unittest
+from unittest import mock
 
 import curio
 
@@ -111,6 +112,28 @@
         self.assertEqual(answer.status, 504)
         self.assertEqual(ran, 1)
 
+    def test_failed_send_is_repeated(self):
+        """Guards against a request that waits out its deadline.
+
+        The backend server closed an idle connection in the same turn of the
+        loop, and the attempt counted as cancelled.
+        """
+
+        async def scenario(world):
+            await world.ask('/statement/x')
+            (idle,) = [
+                connection
+                for kept in world.host.transport._idle_by_id.values()
+                for connection in kept
+            ]
+            with mock.patch.object(
+                idle._sock, 'sendall', side_effect=BrokenPipeError
+            ):
+                answers = [await world.ask('/statement/x') for _ in range(2)]
+            return {answer.status for answer in answers}
+
+        self.assertEqual(self.play(scenario, replicas=2), {200})
+
     def test_answer_for_another_request_is_not_passed_on(self):
         """Guards against a caller that gets what another one asked for."""
 
