Test the host program as a process

Change: tests start it against the stand-ins, stop it with a request in flight and check its settings template. Its first log line names the port of the readiness question too.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -158,7 +158,9 @@
         follower.expire_backends,
         functools.partial(follower.announce, settings['host']['id']),
     )
-    around.journal.info('started', port=server.port)
+    around.journal.info(
+        'started', port=server.port, readiness_port=readiness.port
+    )
     healthy = await supervisor.wait()
     around.journal.info('stopping')
     program.stopping = True
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -54,6 +54,11 @@
             for number in range(self._replicas):
                 await self.add_backend(f'{service}{number}', service)
         self.publish(1)
+        await self.start_host(store_port)
+        return self
+
+    async def start_host(self, store_port):
+        """Start the host in this loop."""
         settings = {
             'process_id': 'host-1',
             'host': {'id': 'host-1', 'region': 'r', 'availability_zone': 'z1'},
@@ -85,13 +90,16 @@
         ):
             self._tasks.append(await curio.spawn(loop))
         await loops.until(self._knows_all)
-        return self
 
-    async def __aexit__(self, *_):
+    async def stop_host(self):
+        """Stop the host and its tasks."""
         for task in self._tasks:
             await task.cancel()
         await self.host.transport.close()
         await self._store_client.close()
+
+    async def __aexit__(self, *_):
+        await self.stop_host()
         await self._stack.aclose()
 
     async def add_backend(self, backend_id, service):
--- /dev/null
+++ b/tests/test_host_process.py
@@ -0,0 +1,157 @@
+"""The host program as a process: start, settings and a planned stop."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import curio
+import yaml
+
+from cardamomflow import errors
+from tests import hostworld, loops
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PROGRAM = (sys.executable, '-m', 'cardamomflow', 'host')
+STOP_WITHIN_S = 4
+START_LIMIT_S = 15
+
+
+class HostProcess(hostworld.HostWorld):
+    """The stand-ins in this loop and the host in a process of its own."""
+
+    def __init__(self):
+        super().__init__(services=('a',), replicas=1)
+        self._folder = tempfile.TemporaryDirectory()
+
+    async def start_host(self, store_port):
+        settings = {
+            'process_id': 'host-1',
+            'host': {'id': 'host-1', 'region': 'r', 'availability_zone': 'z1'},
+            'callers': '127.0.0.1:0',
+            'readiness': '127.0.0.1:0',
+            'store': f'127.0.0.1:{store_port}',
+            'stop_within_s': STOP_WITHIN_S,
+        }
+        path = pathlib.Path(self._folder.name) / 'host.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        self.log = path.with_suffix('.log')
+        self.start_process(path)
+        await loops.until(lambda: self.lines('started'), START_LIMIT_S)
+        (started,) = self.lines('started')
+        self.front_port = started['port']
+        self.ready_port = started['readiness_port']
+        await loops.until(lambda: self.lines('backend server changed'))
+
+    def start_process(self, path):
+        with self.log.open('wb') as log:
+            self.process = subprocess.Popen(
+                [*PROGRAM, '--settings', path], cwd=ROOT, stdout=log
+            )
+
+    def lines(self, event):
+        """Return the whole log lines of an event so far."""
+        whole = self.log.read_text().splitlines()
+        documents = [json.loads(line) for line in whole if line.endswith('}')]
+        return [line for line in documents if line['event'] == event]
+
+    async def wait_stopped(self):
+        await loops.until(lambda: self.process.poll() is not None, 15)
+        return self.process.returncode
+
+    async def stop_host(self):
+        if self.process.poll() is None:
+            os.kill(self.process.pid, signal.SIGKILL)
+            self.process.wait()
+        self._folder.cleanup()
+
+
+class HostProcessTest(unittest.TestCase):
+    def play(self, scenario):
+        async def run():
+            async with HostProcess() as world:
+                return await scenario(world)
+
+        return loops.run(run)
+
+    def test_planned_stop_finishes_what_has_begun(self):
+        """Guards against a restart that cuts requests off."""
+
+        async def scenario(world):
+            ready = await world.ask('/api/ready', port=world.ready_port)
+            backend = world.backends_by_id['a0']
+            backend.pause_s = 1
+            asking = await curio.spawn(world.ask, '/payment/x', 'POST', b'pay')
+            await loops.until(lambda: backend.ran)
+            world.process.send_signal(signal.SIGTERM)
+            await loops.until(lambda: world.lines('stopping'))
+            stopping = await world.ask('/api/ready', port=world.ready_port)
+            backend.pause_s = 0
+            late = await world.ask('/statement/x')
+            answer = await asking.join()
+            return (
+                (ready.status, stopping.status),
+                (answer.status, late.status),
+                late.headers['connection'],
+                await world.wait_stopped(),
+            )
+
+        ready, answers, connection, exit_status = self.play(scenario)
+        self.assertEqual(ready, (200, 503))
+        self.assertEqual(answers, (200, 200))
+        self.assertEqual(connection, 'close')
+        self.assertEqual(exit_status, 0)
+
+    def test_changed_settings_do_not_end_the_process(self):
+        """Guards against a signal that a platform sends with new settings."""
+
+        async def scenario(world):
+            world.process.send_signal(signal.SIGHUP)
+            answer = await world.ask('/statement/x')
+            return answer.status, world.process.poll()
+
+        self.assertEqual(self.play(scenario), (200, None))
+
+
+class SettingsTest(unittest.TestCase):
+    def check(self, document):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'host.yaml'
+            path.write_text(document)
+            return subprocess.run(
+                [*PROGRAM, '--check', '--settings', path],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                check=False,
+                timeout=60,
+            )
+
+    def test_template_gives_valid_settings(self):
+        """Guards against a template that the program refuses."""
+        template = (ROOT / 'deploy' / 'host.yaml').read_text()
+        for placeholder, value in (
+            ('{{node|json}}', '"front-1"'),
+            ('{{region|json}}', '"r"'),
+            ('{{zone|json}}', '"z"'),
+            ('{{listen.front|json}}', '"10.1.0.9:8104"'),
+            ('{{listen.ready|json}}', '"10.1.0.9:8108"'),
+            ('{{platform.address|json}}', '"10.2.0.7:8102"'),
+            ('{{bounds.retry_ratio|json}}', '0.2'),
+            ('{{bounds.retry_burst|json}}', '56'),
+            ('{{bounds.grace_s|json}}', '6'),
+        ):
+            template = template.replace(placeholder, value)
+        self.assertNotIn('{{', template)
+        self.assertEqual(self.check(template).returncode, 0)
+
+    def test_all_errors_are_told_at_once(self):
+        """Guards against settings that are corrected one start at a time."""
+        checked = self.check('process_id: 7\ncallers: here\nsurplus: 1\n')
+        self.assertEqual(checked.returncode, errors.InvalidDocument.exit_status)
+        for named in ('process_id', 'callers', 'surplus', 'store'):
+            self.assertIn(named, checked.stderr)
