--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -15,7 +15,14 @@
 import h11
 from curio import io as curio_io
 
-from cardamomflow import errors, gathering, limits, links, register
+from cardamomflow import (
+    errors,
+    gathering,
+    limits,
+    links,
+    register,
+    webclient,
+)
 from cardamomflow.platform import wire
 
 # A connection that was without use for longer may have fallen silent.
@@ -314,22 +321,13 @@
     async def _finish(self) -> bool:
         response, self._response = self._response, None
         body, self._body = bytes(self._body), bytearray()
-        keeps = self._prepare_next()
+        keeps = webclient.prepare_next(self._protocol)
         now = self._clock()
         self.usable_until = _usable_until(response, now) if keeps else now
         self.answer_until = float('inf')
         await self._transport.ended(self, _reply_of(response, body))
         return keeps
 
-    def _prepare_next(self) -> bool:
-        if self._protocol.trailing_data[0]:
-            return False
-        try:
-            self._protocol.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
-
     async def _end(self) -> None:
         self._closed = True
         self.usable_until = float('-inf')
--- a/cardamomflow/webclient.py
+++ b/cardamomflow/webclient.py
@@ -95,7 +95,7 @@
             raise self._classify(error) from error
         finally:
             self._exchanging = False
-        self._failed = not self._prepare_next()
+        self._failed = not prepare_next(self._protocol)
         return reply
 
     async def close(self) -> None:
@@ -161,21 +161,22 @@
         self._input_ended = not received
         self._protocol.receive_data(received)
 
-    def _prepare_next(self) -> bool:
-        """Tell whether the connection may be kept."""
-        if self._protocol.trailing_data[0]:
-            return False
-        try:
-            self._protocol.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
-
     def _has_unread_input(self) -> bool:
         """Tell whether the peer closed or sent something unasked."""
         return bool(links.pending_events(self._sock, select.POLLIN))
 
 
+def prepare_next(protocol: h11.Connection) -> bool:
+    """Tell whether a connection may be kept after a whole response."""
+    if protocol.trailing_data[0]:
+        return False
+    try:
+        protocol.start_next_cycle()
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
 async def connect(
     address: str, port: int, timeout_s: float = links.CONNECT_TIMEOUT_S
 ) -> WebConnection:
