Keep the tokens of four budgets in one class

Cause: hedges, retries, further attempts and log lines each had the same bounded stock of tokens written out.

Change: tokens.TokenBucket holds it; behaviour is unchanged. The budget of store calls keeps its own, since its tokens may be negative and some are reserved.

--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -6,6 +6,8 @@
 hosts that are known.
 """
 
+from cardamomflow import tokens
+
 # Kept back for requests that were sent but did not arrive, and for a host
 # that has just started and does not know all others.
 SAFETY = 0.8
@@ -27,22 +29,22 @@
         burst : float
             Further attempts of this host in a window, beside the share.
         """
-        self._tokens = 1.0
-        self.resize(share, burst)
+        self._share = share * SAFETY
+        self._bucket = tokens.TokenBucket(_capacity(burst), tokens=1)
 
     def resize(self, share: float, burst: float) -> None:
         """Take another part of the bound; tokens beyond it are lost."""
         self._share = share * SAFETY
-        self._capacity = max(1.0, burst * SAFETY)
-        self._tokens = min(self._capacity, self._tokens)
+        self._bucket.resize(_capacity(burst))
 
     def first_sent(self) -> None:
         """Earn a share of a token for a first attempt."""
-        self._tokens = min(self._capacity, self._tokens + self._share)
+        self._bucket.earn(self._share)
 
     def withdraw(self) -> bool:
         """Take the token of one further attempt, if there is one."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return self._bucket.withdraw()
+
+
+def _capacity(burst: float) -> float:
+    return max(1.0, burst * SAFETY)
--- a/cardamomflow/hedging.py
+++ b/cardamomflow/hedging.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from cardamomflow import rules
+from cardamomflow import rules, tokens
 
 QUANTILE = 0.95
 WINDOW_SAMPLES = 200
@@ -48,7 +48,7 @@
         """Start with an empty budget and without latencies."""
         self._share = rule.extra_load_share
         self._minimum_delay_s = rule.minimum_delay_ms / _MS_PER_S
-        self._tokens: float = 0
+        self._bucket = tokens.TokenBucket(MAXIMUM_TOKENS)
         self._latencies_by_service: dict[str, _Latencies] = {}
 
     def delay_s(self, service: str) -> float:
@@ -67,7 +67,7 @@
 
     def sent(self, count: int) -> None:
         """Deposit for first attempts that were sent."""
-        self._tokens = min(MAXIMUM_TOKENS, self._tokens + count * self._share)
+        self._bucket.earn(count * self._share)
 
     def may_hedge(self, queue_length: int) -> bool:
         """Take the token of one hedged attempt, if allowed.
@@ -77,7 +77,4 @@
         queue_length : int
             Items that wait for the service; hedges would delay them.
         """
-        if queue_length > 0 or self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return queue_length <= 0 and self._bucket.withdraw()
--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -10,7 +10,7 @@
 
 import logbook
 
-from cardamomflow import errors, gathering
+from cardamomflow import errors, gathering, tokens
 
 EVENT = 'request ended'
 REFUSED_EVENT = 'request refused'
@@ -31,7 +31,7 @@
         """Take where lines go."""
         self._journal = journal
         self._clock = clock
-        self._tokens = BURST_LINES
+        self._lines = tokens.TokenBucket(BURST_LINES, BURST_LINES)
         self._filled_at = clock()
         self._counts: collections.Counter[str] = collections.Counter()
         self._left_out: collections.Counter[str] = collections.Counter()
@@ -107,13 +107,9 @@
         self._left_out.clear()
 
     def _take_token(self, now: float) -> bool:
-        earned = (now - self._filled_at) * LINES_PER_S
-        self._tokens = min(BURST_LINES, self._tokens + earned)
+        self._lines.earn((now - self._filled_at) * LINES_PER_S)
         self._filled_at = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return self._lines.withdraw()
 
 
 def _name_of(work: gathering.Work, ending: gathering.Ending, now: float) -> str:
--- a/cardamomflow/retries.py
+++ b/cardamomflow/retries.py
@@ -6,7 +6,7 @@
 
 import random as random_module
 
-from cardamomflow import rules
+from cardamomflow import rules, tokens
 
 # A larger store lets a burst of failures double the load for its duration.
 MAXIMUM_TOKENS = 100.0
@@ -26,18 +26,15 @@
     def __init__(self, rule: rules.Retries) -> None:
         """Start empty, so that retries never exceed the share."""
         self._share = rule.budget_share
-        self._tokens: float = 0
+        self._bucket = tokens.TokenBucket(MAXIMUM_TOKENS)
 
     def sent(self, count: int) -> None:
         """Deposit for first attempts that were sent."""
-        self._tokens = min(MAXIMUM_TOKENS, self._tokens + count * self._share)
+        self._bucket.earn(count * self._share)
 
     def withdraw(self) -> bool:
         """Take the token of one retry; False when the budget is used up."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return self._bucket.withdraw()
 
 
 def backoff_s(
