Wire the parts of a host in one place

Cause: the tests built a host from its parts a second time, and their copy lacked the sums of log lines and the callers that are turned away.

Change: daemons.create_host wires a host for the program and for the tests, which share the function that plays a scenario. What the stand-in kept unread is gone. Assertions and behaviour are unchanged.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -1,7 +1,8 @@
 """Life of the daemons: start, readiness, graceful stop; owns their tasks."""
 
 import functools
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
 
 import curio
 
@@ -132,10 +133,26 @@
     return _end(around, clean=clean and healthy)
 
 
-async def run_host(
-    around: context.Context, store: sources.Source
-) -> exits.ExitStatus:
-    """Run a host process until it is told to stop."""
+class HostParts(NamedTuple):
+    """The parts of a host process, wired to each other.
+
+    Attributes
+    ----------
+    program : hosting.Host
+    callers, readiness : webserver.WebServer
+        Listen already, and have to be served.
+    tasks : tuple of callables
+        Run until the process ends.
+    """
+
+    program: hosting.Host
+    callers: webserver.WebServer
+    readiness: webserver.WebServer
+    tasks: tuple[Callable[[], Awaitable[Any]], ...]
+
+
+def create_host(around: context.Context, store: sources.Source) -> HostParts:
+    """Return the parts of a host process."""
     settings = around.settings
     program = hosting.Host(around)
     server = webserver.WebServer(
@@ -147,31 +164,46 @@
     program.zones.turn_away = server.turn_away
     program.bounds_changed = functools.partial(setattr, server, 'bounds')
     follower = following.Follower(store, program.directory, program, around)
+    return HostParts(
+        program,
+        server,
+        readiness,
+        (
+            program.transport.sweep,
+            program.zones.run,
+            program.summarise,
+            follower.follow,
+            follower.expire_backends,
+            functools.partial(follower.announce, settings['host']['id']),
+        ),
+    )
+
+
+async def run_host(
+    around: context.Context, store: sources.Source
+) -> exits.ExitStatus:
+    """Run a host process until it is told to stop."""
+    parts = create_host(around, store)
     supervisor = shutdown.Supervisor(around.journal)
     await supervisor.start(
-        server.serve,
-        readiness.serve,
-        program.transport.sweep,
-        program.zones.run,
-        program.summarise,
-        follower.follow,
-        follower.expire_backends,
-        functools.partial(follower.announce, settings['host']['id']),
+        parts.callers.serve, parts.readiness.serve, *parts.tasks
     )
     around.journal.info(
-        'started', port=server.port, readiness_port=readiness.port
+        'started',
+        port=parts.callers.port,
+        readiness_port=parts.readiness.port,
     )
     healthy = await supervisor.wait()
     around.journal.info('stopping')
-    program.stopping = True
-    server.announce_stop()
+    parts.program.stopping = True
+    parts.callers.announce_stop()
     # The platform takes two refusals, a second apart, to send callers away.
     await curio.sleep(HOST_DRAIN_DELAY_S)
-    stop_within_s = settings.get('stop_within_s', DEFAULT_STOP_WITHIN_S)
-    clean = await server.wait_idle(
+    stop_within_s = around.settings.get('stop_within_s', DEFAULT_STOP_WITHIN_S)
+    clean = await parts.callers.wait_idle(
         max(0, stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S)
     )
-    await program.transport.close()
+    await parts.program.transport.close()
     return _end(around, clean=clean and healthy)
 
 
--- a/standins/users.py
+++ b/standins/users.py
@@ -15,7 +15,6 @@
 from cardamomflow import errors, webhandler
 from cardamomflow.platform import wire
 
-RECORD_BYTES = 16
 _LONGEST_POLL_S = 0.02
 _SILENCE_S = 60
 
@@ -35,7 +34,6 @@
         self.revision = 1
         self.is_down = False
         self.is_silent = False
-        self.calls: list[str] = []
         self.items_by_key: dict[str, Item] = {}
         self.leases: set[int] = set()
         self._events: list[dict[str, Any]] = []
@@ -69,7 +67,6 @@
             urllib.parse.parse_qsl(target.query, keep_blank_values=True)
         )
         call = target.path.removeprefix('/api/')
-        self.calls.append(call)
         if self.is_silent:
             await curio.sleep(_SILENCE_S)
         if self.is_down:
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -1,21 +1,14 @@
 """A host and the users' platform in one loop, over real sockets."""
 
 import contextlib
-import functools
 import json
 from typing import NamedTuple
 
 import curio
 import h11
 
-from cardamomflow import (
-    context,
-    following,
-    hosting,
-    links,
-    webserver,
-)
-from cardamomflow.platform import front, kvstore
+from cardamomflow import context, daemons, links, webserver
+from cardamomflow.platform import kvstore
 from standins import users
 from tests import loops
 
@@ -48,8 +41,9 @@
         self._tasks = []
 
     async def __aenter__(self):
-        self.store_server = webserver.WebServer('127.0.0.1', 0, self.store)
-        store_port = await self._serve(self.store_server)
+        store_port = await self._serve(
+            webserver.WebServer('127.0.0.1', 0, self.store)
+        )
         for service in self._services:
             for number in range(self._replicas):
                 await self.add_backend(f'{service}{number}', service)
@@ -62,32 +56,20 @@
         settings = {
             'process_id': 'host-1',
             'host': {'id': 'host-1', 'region': 'r', 'availability_zone': 'z1'},
+            'callers': '127.0.0.1:0',
+            'readiness': '127.0.0.1:0',
             'retry_share': 1.0,
             'retry_burst': 100,
             'log': {'level': 'error'},
         }
-        around = context.create(settings)
-        self.host = hosting.Host(around)
-        server = webserver.WebServer('127.0.0.1', 0, front.Front(self.host))
-        self.host.bounds_changed = functools.partial(setattr, server, 'bounds')
-        self.front_port = await self._serve(server)
-        self.ready_port = await self._serve(
-            webserver.WebServer('127.0.0.1', 0, front.Readiness(self.host))
-        )
         self._store_client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
-        follower = following.Follower(
-            self._store_client,
-            self.host.directory,
-            self.host,
-            around,
+        parts = daemons.create_host(
+            context.create(settings), self._store_client
         )
-        for loop in (
-            self.host.transport.sweep,
-            self.host.zones.run,
-            follower.follow,
-            follower.expire_backends,
-            functools.partial(follower.announce, 'host-1'),
-        ):
+        self.host = parts.program
+        self.front_port = await self._serve(parts.callers)
+        self.ready_port = await self._serve(parts.readiness)
+        for loop in parts.tasks:
             self._tasks.append(await curio.spawn(loop))
         await loops.until(self._knows_all)
 
@@ -195,6 +177,16 @@
             return Answer(response.status_code, headers, body)
 
 
+def play(scenario, world=HostWorld, **shape):
+    """Run a scenario in a world of its own; returns what it returns."""
+
+    async def run():
+        async with world(**shape) as entered:
+            return await scenario(entered)
+
+    return loops.run(run)
+
+
 def error_code(answer):
     """Return the code of a refusal."""
     return json.loads(answer.body)['error']['code']
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -71,13 +71,6 @@
 
 
 class HostProcessTest(unittest.TestCase):
-    def play(self, scenario):
-        async def run():
-            async with HostProcess() as world:
-                return await scenario(world)
-
-        return loops.run(run)
-
     def test_planned_stop_finishes_what_has_begun(self):
         """Guards against a restart that cuts requests off."""
 
@@ -100,7 +93,9 @@
                 await world.wait_stopped(),
             )
 
-        ready, answers, connection, exit_status = self.play(scenario)
+        ready, answers, connection, exit_status = hostworld.play(
+            scenario, HostProcess
+        )
         self.assertEqual(ready, (200, 503))
         self.assertEqual(answers, (200, 200))
         self.assertEqual(connection, 'close')
@@ -114,7 +109,7 @@
             answer = await world.ask('/statement/x')
             return answer.status, world.process.poll()
 
-        self.assertEqual(self.play(scenario), (200, None))
+        self.assertEqual(hostworld.play(scenario, HostProcess), (200, None))
 
 
 class SettingsTest(unittest.TestCase):
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -9,13 +9,6 @@
 
 
 class AnswerTest(unittest.TestCase):
-    def play(self, scenario, **shape):
-        async def run():
-            async with hostworld.HostWorld(**shape) as world:
-                return await scenario(world)
-
-        return loops.run(run)
-
     def test_parts_are_merged_and_named(self):
         """Guards against records that are lost, or parts that are not told."""
 
@@ -24,7 +17,7 @@
                 backend.records = hostworld.record(number // 2)
             return await world.ask('/lookup/x?q=1')
 
-        answer = self.play(scenario)
+        answer = hostworld.play(scenario)
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.body, hostworld.record(1) + hostworld.record(0))
         self.assertEqual(answer.headers['x-missing-parts'], '0')
@@ -44,7 +37,7 @@
             ]
             return answer, ran
 
-        answer, (request,) = self.play(scenario)
+        answer, (request,) = hostworld.play(scenario)
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers['x-request-id'], 'p7')
         self.assertIn('x-response-seal', answer.headers)
@@ -63,7 +56,7 @@
                 world.backends_by_id[backend_id].pause_s = 5
             return await world.ask('/lookup/x')
 
-        answer = self.play(scenario)
+        answer = hostworld.play(scenario)
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers['x-missing-parts'], '1')
         self.assertEqual(len(answer.headers['x-part-stamps'].split(',')), 1)
@@ -79,7 +72,7 @@
             ]
             return [answer.status for answer in answers]
 
-        self.assertEqual(set(self.play(scenario)), {200})
+        self.assertEqual(set(hostworld.play(scenario)), {200})
 
     def test_payment_refused_by_all_is_not_run(self):
         """Guards against an answer that leaves the caller in doubt."""
@@ -89,7 +82,7 @@
                 backend.refuses = True
             return await world.ask('/payment/x', 'POST', b'pay')
 
-        answer = self.play(scenario)
+        answer = hostworld.play(scenario)
         self.assertEqual(answer.status, 503)
         self.assertEqual(hostworld.error_code(answer), 'no_replica')
         self.assertGreater(float(answer.headers['retry-after']), 0)
@@ -108,7 +101,7 @@
             )
             return answer, ran
 
-        answer, ran = self.play(scenario)
+        answer, ran = hostworld.play(scenario)
         self.assertEqual(answer.status, 504)
         self.assertEqual(ran, 1)
 
@@ -132,7 +125,7 @@
                 answers = [await world.ask('/statement/x') for _ in range(2)]
             return {answer.status for answer in answers}
 
-        self.assertEqual(self.play(scenario, replicas=2), {200})
+        self.assertEqual(hostworld.play(scenario), {200})
 
     def test_answer_for_another_request_is_not_passed_on(self):
         """Guards against a caller that gets what another one asked for."""
@@ -141,7 +134,7 @@
             world.backends_by_id['a0'].answers_for = 'other'
             return [await world.ask('/statement/x') for _ in range(6)]
 
-        for answer in self.play(scenario):
+        for answer in hostworld.play(scenario):
             self.assertEqual(answer.status, 200)
             self.assertTrue(answer.headers['x-response-seal'].startswith('a1'))
 
@@ -152,18 +145,11 @@
             lost = await world.ask('/nowhere/x')
             return lost, await world.ask('/lookup')
 
-        lost, short = self.play(scenario)
+        lost, short = hostworld.play(scenario)
         self.assertEqual((lost.status, short.status), (404, 404))
 
 
 class PlatformTest(unittest.TestCase):
-    def play(self, scenario):
-        async def run():
-            async with hostworld.HostWorld() as world:
-                return await scenario(world)
-
-        return loops.run(run)
-
     def test_new_routes_are_in_force(self):
         """Guards against routes that are only read at the start."""
 
@@ -175,7 +161,7 @@
             )
             return before, (await world.ask('/search/x')).status
 
-        self.assertEqual(self.play(scenario), (200, 200))
+        self.assertEqual(hostworld.play(scenario), (200, 200))
 
     def test_older_routes_never_come_back(self):
         """Guards against a revision that goes back."""
@@ -190,7 +176,7 @@
             )
             return (await world.ask('/search/x')).status
 
-        self.assertEqual(self.play(scenario), 200)
+        self.assertEqual(hostworld.play(scenario), 200)
 
     def test_leaving_backend_server_gets_no_more_work(self):
         """Guards against work for a backend server that drains."""
@@ -204,7 +190,7 @@
                 await world.ask('/statement/x')
             return len(world.backends_by_id['a0'].ran)
 
-        self.assertEqual(self.play(scenario), 0)
+        self.assertEqual(hostworld.play(scenario), 0)
 
     def test_outage_of_the_store_changes_nothing(self):
         """Guards against hosts that serve only while the store is up."""
@@ -220,7 +206,7 @@
             )
             return during, (await world.ask('/search/x')).status
 
-        self.assertEqual(self.play(scenario), (200, 200))
+        self.assertEqual(hostworld.play(scenario), (200, 200))
 
     def test_routes_are_in_force_after_silence(self):
         """Guards against a watch on a connection that fell silent.
@@ -241,7 +227,7 @@
             )
             return True
 
-        self.assertTrue(self.play(scenario))
+        self.assertTrue(hostworld.play(scenario))
 
     def test_lost_history_is_listed_again(self):
         """Guards against changes that fell into the gap of a watch."""
@@ -255,7 +241,7 @@
             )
             return (await world.ask('/statement/x')).status
 
-        self.assertEqual(self.play(scenario), 200)
+        self.assertEqual(hostworld.play(scenario), 200)
 
     def test_host_lists_itself_again(self):
         """Guards against hosts that count too few and share too much."""
@@ -270,7 +256,7 @@
             )
             return True
 
-        self.assertTrue(self.play(scenario))
+        self.assertTrue(hostworld.play(scenario))
 
     def test_readiness_follows_the_routes(self):
         """Guards against callers that are sent to a host without routes."""
@@ -282,4 +268,4 @@
             second = await world.ask('/api/ready', port=port)
             return first.status, second.status
 
-        self.assertEqual(self.play(scenario), (200, 503))
+        self.assertEqual(hostworld.play(scenario), (200, 503))
