Wait for events instead of milliseconds in tests

On a machine that stalls, the link or the request is not there yet, and a query whose only candidate is delisted ends without a shard.

Seven waits of the same kind, in the tests of the backend stand-in and of the web client, become conditions too.

--- a/tests/test_aggregatorlinks.py
+++ b/tests/test_aggregatorlinks.py
@@ -255,12 +255,16 @@
             self.run_links(scenario, zones=('a1', 'b1 b2'))
 
     def test_delisted_aggregator_keeps_its_answer(self):
-        """Guards against an answer lost with a change of the ranking."""
-        self.peers['a1'].answer_delay_s = 0.2
+        """Guards against an answer lost with a change of the ranking.
+
+        The request has been read before the ranking changes.
+        """
+        self.peers['a1'].answer_delay_s = 0.1
 
         async def scenario():
+            await self.settle('a1', 'a2')
             task = await curio.spawn(self.query, {'s': ['a1']})
-            await curio.sleep(0.05)
+            await loops.until(lambda: self.peers['a1'].requests)
             await self.links.apply([self.zone('a2')])
             done = await task.join()
             await loops.until(lambda: not self.peers['a1'].links)
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -250,10 +250,10 @@
         async def scenario():
             await self.control(service_time_ms=5000)
             call = await curio.spawn(self.items, 0, 1)
-            await curio.sleep(0.05)
+            slots = self.backend.slots
+            await loops.until(lambda: slots.in_use)
             await self.fetch('POST', '/v1/cancel', {'attempts': ['x0']})
-            await curio.sleep(0.02)
-            in_use = self.backend.slots.in_use
+            in_use = slots.in_use
             await self.fetch('POST', '/v1/cancel', {'attempts': ['x1']})
             items = await call.join()
             return in_use, self.backend.slots.in_use, items
@@ -268,10 +268,10 @@
         async def scenario():
             await self.control(service_time_ms=5000)
             calls = [await curio.spawn(self.query, 0) for _ in range(4)]
-            await curio.sleep(0.05)
+            slots = self.backend.slots
+            await loops.until(lambda: slots.in_use + slots.queued == 4)
             for call in calls:
                 await call.cancel()
-            slots = self.backend.slots
             await loops.until(lambda: not slots.in_use + slots.queued, 1.0)
 
         self.run_scenario(scenario)
@@ -283,7 +283,8 @@
             callers = [loops.Caller(self.port) for _ in range(8)]
             for caller in callers:
                 await caller.__aenter__()
-            await curio.sleep(0.02)
+            counts = self.backend.executions.counts
+            await loops.until(lambda: counts['connections'] == 8)
             with self.assertRaises(errors.PeerLost):
                 await self.fetch('GET', '/v1/status')
             for caller in callers:
@@ -317,19 +318,17 @@
             await connection.exchange(
                 'POST', '/v1/operation', {'key': 'd', 'budget_ms': 900}
             )
-            await curio.sleep(0.02)
-            duplicate = not connection.reusable
+            await loops.until(lambda: not connection.reusable)
             await connection.close()
             await self.control(duplicate_share=0, late_share=1, late_ms=100)
             started_at = time.monotonic()
             await self.items(1)
             late_s = time.monotonic() - started_at
-            return crossed, mislabelled, duplicate, late_s
+            return crossed, mislabelled, late_s
 
-        crossed, mislabelled, duplicate, late_s = self.run_scenario(scenario)
+        crossed, mislabelled, late_s = self.run_scenario(scenario)
         self.assertEqual(crossed[0]['attempt'], 'first0')
         self.assertEqual(mislabelled[0]['version'], 2)
-        self.assertTrue(duplicate)
         self.assertGreaterEqual(late_s, 0.1)
 
     def test_silent_connections(self):
--- a/tests/test_webclient.py
+++ b/tests/test_webclient.py
@@ -103,8 +103,7 @@
 
         async def scenario(connection):
             await connection.exchange('GET', '/')
-            await curio.sleep(0.02)
-            self.assertFalse(connection.reusable)
+            await loops.until(lambda: not connection.reusable)
 
         self.exchange([_OK + _OK], scenario, hang_up=False)
 
@@ -115,8 +114,7 @@
             await connection.exchange('GET', '/')
             self.assertTrue(connection.reusable)
             await connection._sock.sendall(b'x')
-            await curio.sleep(0.02)
-            self.assertFalse(connection.reusable)
+            await loops.until(lambda: not connection.reusable)
 
         self.exchange([_OK, _OK], scenario, hang_up=False)
 
@@ -125,8 +123,7 @@
 
         async def scenario(connection):
             await connection.exchange('GET', '/')
-            await curio.sleep(0.02)
-            self.assertFalse(connection.reusable)
+            await loops.until(lambda: not connection.reusable)
 
         self.exchange([_OK], scenario)
 
