Name surplus settings in their error

The error showed the first 60 characters of the whole object, which may end before the surplus key; the reader had to compare the file with the list of known keys. Seen in a test of settings that are read again.

--- a/cardamomflow/settings.py
+++ b/cardamomflow/settings.py
@@ -8,7 +8,7 @@
 import json
 import pathlib
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import jsonschema
 import yaml
@@ -47,7 +47,11 @@
     return '.'.join(str(part) for part in parts) or '(document)'
 
 
-def _render_found(found: object) -> str:
+def _render_found(problem: exceptions.ValidationError) -> str:
+    found = problem.instance
+    if problem.validator == 'additionalProperties':
+        # The whole object may be cut off before its surplus keys.
+        found = sorted(found.keys() - problem.schema.get('properties', {}))
     text = json.dumps(found, default=str)
     if len(text) > _FOUND_LENGTH:
         return f'{text[:_FOUND_LENGTH]}...'
@@ -95,7 +99,7 @@
         errors.SettingsProblem(
             source,
             _render_path(iter(problem.absolute_path)),
-            _render_found(problem.instance),
+            _render_found(problem),
             _render_expected(problem),
         )
         for problem in sorted(found, key=lambda problem: problem.json_path)
@@ -152,6 +156,32 @@
     )
 
 
+class SettingsFile(NamedTuple):
+    """The settings file of a program.
+
+    Attributes
+    ----------
+    path : pathlib.Path
+    program : str
+        Name of the schema, as for `check`.
+    """
+
+    path: pathlib.Path
+    program: str
+
+    def load(self) -> Any:
+        """Return the checked document; raises as `load` does."""
+        return load(self.path, self.program)
+
+    def version(self) -> tuple[int, int, int] | None:
+        """Return what differs after a change, None without a file."""
+        try:
+            found = self.path.stat()
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+
 def load(path: pathlib.Path, schema_name: str) -> Any:
     """Read a YAML file and check it against a schema.
 
