Read a host's settings again, and end its entry at a stop

A host ignored SIGHUP and changes of its settings file.

A stopping host ends the lease; the loop that announces does so, since a renewal in progress would otherwise list the host again.

The stand-in of the store can be slow, stale, over its rate, and lose answers after their effect, and it keeps leases.

--- a/cardamomflow/core.py
+++ b/cardamomflow/core.py
@@ -6,7 +6,6 @@
 import pathlib
 import sys
 from collections.abc import Callable, Sequence
-from typing import Any
 
 import click
 import curio
@@ -29,17 +28,20 @@
 _INCARNATION_BITS = 32
 
 
-def _start_agent(document: Any) -> exits.ExitStatus:
+def _start_agent(file: settings.SettingsFile) -> exits.ExitStatus:
+    document = file.load()
     around = context.create(document)
     store = httpclient.from_settings(document['platform'])
     return curio.run(agent.run, document, around, store)
 
 
-def _start_entry(document: Any) -> exits.ExitStatus:
+def _start_entry(file: settings.SettingsFile) -> exits.ExitStatus:
+    document = file.load()
     return curio.run(daemons.run_entry, context.create(document))
 
 
-def _start_aggregator(document: Any) -> exits.ExitStatus:
+def _start_aggregator(file: settings.SettingsFile) -> exits.ExitStatus:
+    document = file.load()
     around = context.create(document)
     incarnation = around.random.getrandbits(_INCARNATION_BITS)
     claimant = f'{document["process_id"]}/{incarnation:08x}'
@@ -49,14 +51,17 @@
     return curio.run(daemons.run_aggregator, around, store, claims)
 
 
-def _start_host(document: Any) -> exits.ExitStatus:
+def _start_host(file: settings.SettingsFile) -> exits.ExitStatus:
+    document = file.load()
     around = context.create(document)
     address, port = authorities.split(document['store'])
     store = kvstore.KvStore(address, port)
-    return curio.run(daemons.run_host, around, store)
+    return curio.run(daemons.run_host, around, store, file)
 
 
-_STARTERS_BY_PROGRAM: dict[str, Callable[[Any], exits.ExitStatus]] = {
+_STARTERS_BY_PROGRAM: dict[
+    str, Callable[[settings.SettingsFile], exits.ExitStatus]
+] = {
     'agent': _start_agent,
     'entry': _start_entry,
     'aggregator': _start_aggregator,
@@ -75,11 +80,12 @@
     """Return the command of a daemon; all daemons take the same options."""
 
     def run(settings_path: pathlib.Path, check: bool) -> None:
-        document = settings.load(settings_path, program)
+        file = settings.SettingsFile(settings_path, program)
         if check:
+            file.load()
             click.echo(f'{settings_path}: valid settings of {program}')
             return
-        sys.exit(_STARTERS_BY_PROGRAM[program](document))
+        sys.exit(_STARTERS_BY_PROGRAM[program](file))
 
     return click.Command(
         program,
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -17,11 +17,13 @@
     links,
     localview,
     operations,
+    reloading,
     shutdown,
     sources,
     telemetry,
     webserver,
 )
+from cardamomflow import settings as settings_module
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import front
 
@@ -143,12 +145,14 @@
         Listen already, and have to be served.
     tasks : tuple of callables
         Run until the process ends.
+    follower : following.Follower
     """
 
     program: hosting.Host
     callers: webserver.WebServer
     readiness: webserver.WebServer
     tasks: tuple[Callable[[], Awaitable[Any]], ...]
+    follower: following.Follower
 
 
 def create_host(around: context.Context, store: sources.Source) -> HostParts:
@@ -176,17 +180,23 @@
             follower.expire_backends,
             functools.partial(follower.announce, settings['host']['id']),
         ),
+        follower,
     )
 
 
 async def run_host(
-    around: context.Context, store: sources.Source
+    around: context.Context,
+    store: sources.Source,
+    file: settings_module.SettingsFile,
 ) -> exits.ExitStatus:
     """Run a host process until it is told to stop."""
     parts = create_host(around, store)
+    watch = reloading.SettingsWatch(
+        file, parts.program.take_settings, around.journal
+    )
     supervisor = shutdown.Supervisor(around.journal)
     await supervisor.start(
-        parts.callers.serve, parts.readiness.serve, *parts.tasks
+        parts.callers.serve, parts.readiness.serve, watch.run, *parts.tasks
     )
     around.journal.info(
         'started',
@@ -197,9 +207,12 @@
     around.journal.info('stopping')
     parts.program.stopping = True
     parts.callers.announce_stop()
+    await parts.follower.leave()
     # The platform takes two refusals, a second apart, to send callers away.
     await curio.sleep(HOST_DRAIN_DELAY_S)
-    stop_within_s = around.settings.get('stop_within_s', DEFAULT_STOP_WITHIN_S)
+    stop_within_s = parts.program.settings.get(
+        'stop_within_s', DEFAULT_STOP_WITHIN_S
+    )
     clean = await parts.callers.wait_idle(
         max(0, stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S)
     )
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -70,6 +70,7 @@
         self._routes_revision = -1
         self._revisions_by_id: dict[str, int] = {}
         self._lost: set[str] = set()
+        self._leaving = curio.Event()
 
     async def follow(self) -> None:
         """Keep routes and backend servers up to date until cancelled."""
@@ -99,17 +100,30 @@
             await self._tell(self._directory.expire(self._clock()))
 
     async def announce(self, host_id: str) -> None:
-        """List this host and count the others until cancelled."""
-        while True:
-            try:
-                await self._source.announce_host(host_id, HOST_TTL_S)
-                hosts = await self._source.count_hosts()
-            except errors.FlowError as error:
-                self._note_lost('hosts', error)
-            else:
-                self._note_regained('hosts')
-                await self._listener.hosts_counted(hosts)
-            await curio.sleep(ANNOUNCE_INTERVAL_S)
+        """List this host and count the others until `leave` is called."""
+        while not self._leaving.is_set():
+            await self._announce_once(host_id)
+            async with curio.ignore_after(ANNOUNCE_INTERVAL_S):
+                await self._leaving.wait()
+        try:
+            await self._source.withdraw_host()
+        except errors.FlowError as error:
+            # The entry ends with its lease.
+            self._note_lost('hosts', error)
+
+    async def leave(self) -> None:
+        """Let `announce` end the entry of this host."""
+        await self._leaving.set()
+
+    async def _announce_once(self, host_id: str) -> None:
+        try:
+            await self._source.announce_host(host_id, HOST_TTL_S)
+            hosts = await self._source.count_hosts()
+        except errors.FlowError as error:
+            self._note_lost('hosts', error)
+        else:
+            self._note_regained('hosts')
+            await self._listener.hosts_counted(hosts)
 
     async def _take_next(self, revision: int | None) -> int:
         if revision is None:
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -18,6 +18,7 @@
     following,
     gathering,
     limits,
+    reloading,
     requestlog,
     routes,
     serverconnection,
@@ -40,12 +41,20 @@
 LEAVE_ROTATION_S = 2.2
 
 
+# Settings that come into force while the process runs; `stop_within_s` is
+# read when it is needed.
+_TAKEN_WHILE_RUNNING = frozenset(
+    ('retry_share', 'retry_burst', 'stop_within_s')
+)
+
+
 class Host(front.Tier, backendlink.Events, following.Listener):
     """State of a host process."""
 
     def __init__(self, around: context.Context) -> None:
         """Start without routes and without backend servers."""
         self.stopping = False
+        self.settings = around.settings
         self.bounds_changed: Callable[[serverconnection.Bounds], None] = _ignore
         self.directory = directory.Directory()
         self._context = around
@@ -66,9 +75,9 @@
         )
         self.platform_heard_at = around.clock()
         self._request_log = requestlog.RequestLog(around.journal, around.clock)
-        self._hosts = 0
+        self._hosts = ASSUMED_HOSTS
         self._hosts_until = float('-inf')
-        self._share_with(ASSUMED_HOSTS)
+        self._share_with(self._hosts)
 
     # What the platform says.
 
@@ -112,6 +121,24 @@
             self._hosts_until = now + FEWER_HOSTS_S
             self._share_with(hosts)
 
+    def take_settings(self, document: Any) -> reloading.Taken:
+        """Use changed budgets; other keys wait for the next start."""
+        changed = {
+            key
+            for key in self.settings.keys() | document.keys()
+            if self.settings.get(key) != document.get(key)
+        }
+        in_force = changed & _TAKEN_WHILE_RUNNING
+        kept = {
+            key: value
+            for key, value in self.settings.items()
+            if key not in in_force
+        }
+        taken = {key: document[key] for key in in_force & document.keys()}
+        self.settings = {**kept, **taken}
+        self._share_with(self._hosts)
+        return reloading.Taken(sorted(in_force), sorted(changed - in_force))
+
     # What callers ask.
 
     @property
@@ -253,12 +280,11 @@
             await self.transport.cancel(attempt)
 
     def _share_with(self, hosts: int) -> None:
-        settings = self._context.settings
         self._dispatcher.share(
             dispatching.Sharing(
                 max(1, hosts),
-                settings.get('retry_share', DEFAULT_RETRY_SHARE),
-                settings.get('retry_burst', 0),
+                self.settings.get('retry_share', DEFAULT_RETRY_SHARE),
+                self.settings.get('retry_burst', 0),
             )
         )
 
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -86,6 +86,12 @@
         )
         self._lease = lease
 
+    async def withdraw_host(self) -> None:
+        """End the lease of this host's entry, which ends the entry."""
+        lease, self._lease = self._lease, _NO_LEASE
+        if lease != _NO_LEASE:
+            await self._channel.change('DELETE', f'/api/kv-lease-end/{lease}')
+
     async def count_hosts(self) -> int:
         """Return the number of listed hosts; may be seconds old."""
         reply = await self._get(
--- a/cardamomflow/shutdown.py
+++ b/cardamomflow/shutdown.py
@@ -19,8 +19,9 @@
     # curio 1.6 has no signal interface. A signal handler may only write to
     # a socket: taking a lock in it could block the loop that it interrupts.
     reader, writer = socket.socketpair()
-    # A host's settings can't change while it runs, and the signal would end it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
+        # The signal tells of new settings; by default it ends a process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with writer:
         writer.setblocking(False)
         for number in _STOP_SIGNALS:
--- a/cardamomflow/sources.py
+++ b/cardamomflow/sources.py
@@ -67,6 +67,10 @@
     async def announce_host(self, host_id: str, ttl_s: float) -> None:
         """List this host, or renew its entry, for a time."""
 
+    @abc.abstractmethod
+    async def withdraw_host(self) -> None:
+        """End the entry of this host, if it has one."""
+
     @abc.abstractmethod
     async def count_hosts(self) -> int:
         """Return the number of listed hosts; may be seconds old."""
--- a/standins/users.py
+++ b/standins/users.py
@@ -1,11 +1,13 @@
 """Stand-in of the users' platform: its store and a backend server.
 
 Speaks the published protocol as far as a host needs it. The store can be
-down, lose its history and take a host's entry away; a backend server can
-pause, break off, refuse and answer for another request.
+down, silent, slow, stale, over its rate, lose answers after their effect,
+lose its history and take a host's entry away; a backend server can pause,
+break off, refuse and answer for another request.
 """
 
 import base64
+import collections
 import json
 import urllib.parse
 from typing import Any, NamedTuple
@@ -17,6 +19,7 @@
 
 _LONGEST_POLL_S = 0.02
 _SILENCE_S = 60
+_OPERATORS_PREFIXES = ('op/', 'servers/')
 
 
 class Item(NamedTuple):
@@ -34,8 +37,15 @@
         self.revision = 1
         self.is_down = False
         self.is_silent = False
+        self.is_over_rate = False
+        self.delay_s: float = 0
+        # Whether an answer is lost, by the kind of call.
+        self.loses_answers_of: set[str] = set()
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self.items_by_key: dict[str, Item] = {}
         self.leases: set[int] = set()
+        self._granted = 0
+        self._old_items_by_key: dict[str, Item] | None = None
         self._events: list[dict[str, Any]] = []
         self._oldest = 1
 
@@ -56,6 +66,21 @@
             {'key': key, 'revision': self.revision, 'removed': True}
         )
 
+    def end_lease(self, lease: int) -> None:
+        """Remove a lease with its entries."""
+        self.leases.discard(lease)
+        ended = [
+            key
+            for key, item in self.items_by_key.items()
+            if item.lease == lease
+        ]
+        for key in ended:
+            self.remove(key)
+
+    def keep_stale(self) -> None:
+        """Answer reads that may be stale with the entries of now."""
+        self._old_items_by_key = dict(self.items_by_key)
+
     def forget_history(self) -> None:
         """Drop all events, so that watches have to list again."""
         self._events.clear()
@@ -67,38 +92,60 @@
             urllib.parse.parse_qsl(target.query, keep_blank_values=True)
         )
         call = target.path.removeprefix('/api/')
-        if self.is_silent:
-            await curio.sleep(_SILENCE_S)
+        kind, _, argument = call.partition('/')
+        self.calls_by_kind[kind] += 1
+        await curio.sleep(_SILENCE_S if self.is_silent else self.delay_s)
         if self.is_down:
             raise errors.PlatformUnavailable('the store is down')
-        match call.partition('/')[0]:
+        if self.is_over_rate and 'allow_stale' not in query:
+            return webhandler.Response(429, {'error': 'over the rate'})
+        if kind == 'kv-watch':
+            return await self._watch(query)
+        if request.method == 'GET':
+            return self._read(kind, query)
+        response = self._write(kind, argument, request)
+        if kind in self.loses_answers_of:
+            await curio.sleep(_SILENCE_S)
+        return response
+
+    def _read(self, kind: str, query: dict[str, str]) -> webhandler.Response:
+        match kind:
             case 'kv-key':
-                return self._read(query['key'])
+                return self._read_item(query['key'])
             case 'kv-range':
-                return self._list(query['prefix'])
-            case 'kv-watch':
-                return await self._watch(query)
+                return self._list(query)
+        raise errors.NotFound(kind)
+
+    def _write(
+        self, kind: str, argument: str, request: webhandler.Request
+    ) -> webhandler.Response:
+        match kind:
             case 'kv-lease':
                 return self._grant(request.json()['ttl_ms'])
             case 'kv-keep':
-                return self._keep(int(call.partition('/')[2]))
+                return self._keep(int(argument))
+            case 'kv-lease-end':
+                self.end_lease(int(argument))
+                return self._answer({})
             case 'kv-txn':
                 return self._change(request.json())
-        raise errors.NotFound(call)
+        raise errors.NotFound(kind)
 
-    def _read(self, key: str) -> webhandler.Response:
+    def _read_item(self, key: str) -> webhandler.Response:
         if key not in self.items_by_key:
             raise errors.NotFound(key)
         return self._answer(self._render(key))
 
-    def _list(self, prefix: str) -> webhandler.Response:
-        keys = [key for key in self.items_by_key if key.startswith(prefix)]
-        return self._answer(
-            {
-                'items': [self._render(key) for key in sorted(keys)],
-                'has_more': False,
-            }
-        )
+    def _list(self, query: dict[str, str]) -> webhandler.Response:
+        items_by_key = self.items_by_key
+        if 'allow_stale' in query and self._old_items_by_key is not None:
+            items_by_key = self._old_items_by_key
+        rows = [
+            _render(key, items_by_key[key])
+            for key in sorted(items_by_key)
+            if key.startswith(query['prefix'])
+        ]
+        return self._answer({'items': rows, 'has_more': False})
 
     async def _watch(self, query: dict[str, str]) -> webhandler.Response:
         after = int(query['after'])
@@ -119,9 +166,9 @@
         return self._answer({'events': events})
 
     def _grant(self, ttl_ms: int) -> webhandler.Response:
-        lease = len(self.leases) + 1
-        self.leases.add(lease)
-        return self._answer({'lease': lease, 'ttl_ms': ttl_ms})
+        self._granted += 1
+        self.leases.add(self._granted)
+        return self._answer({'lease': self._granted, 'ttl_ms': ttl_ms})
 
     def _keep(self, lease: int) -> webhandler.Response:
         if lease not in self.leases:
@@ -129,26 +176,34 @@
         return self._answer({'ttl_ms': 1})
 
     def _change(self, document: Any) -> webhandler.Response:
-        for row in document['puts']:
+        rows = document['puts']
+        if any(row['key'].startswith(_OPERATORS_PREFIXES) for row in rows):
+            return webhandler.Response(403, {'error': "the operator's keys"})
+        if any(row['lease'] not in {0, *self.leases} for row in rows):
+            raise errors.NotFound('no such lease')
+        for row in rows:
             self.put_bytes(
                 row['key'], base64.b64decode(row['value']), row['lease']
             )
         return self._answer({'revision': self.revision})
 
     def _render(self, key: str) -> dict[str, Any]:
-        found = self.items_by_key[key]
-        return {
-            'key': key,
-            'value': base64.b64encode(found.value).decode(),
-            'revision': found.revision,
-            'created': found.revision,
-            'lease': found.lease,
-        }
+        return _render(key, self.items_by_key[key])
 
     def _answer(self, document: dict[str, Any]) -> webhandler.Response:
         return webhandler.Response(200, {**document, 'as_of': self.revision})
 
 
+def _render(key: str, item: Item) -> dict[str, Any]:
+    return {
+        'key': key,
+        'value': base64.b64encode(item.value).decode(),
+        'revision': item.revision,
+        'created': item.revision,
+        'lease': item.lease,
+    }
+
+
 class BackendServer(webhandler.RequestHandler):
     """A backend server of one service."""
 
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -13,6 +13,7 @@
 import yaml
 
 from cardamomflow import errors
+from cardamomflow.platform import wire
 from tests import hostworld, loops
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -37,10 +38,10 @@
             'store': f'127.0.0.1:{store_port}',
             'stop_within_s': STOP_WITHIN_S,
         }
-        path = pathlib.Path(self._folder.name) / 'host.yaml'
-        path.write_text(yaml.safe_dump(settings))
-        self.log = path.with_suffix('.log')
-        self.start_process(path)
+        self.path = pathlib.Path(self._folder.name) / 'host.yaml'
+        self.path.write_text(yaml.safe_dump(settings))
+        self.log = self.path.with_suffix('.log')
+        self.start_process(self.path)
         await loops.until(lambda: self.lines('started'), START_LIMIT_S)
         (started,) = self.lines('started')
         self.front_port = started['port']
@@ -111,6 +112,35 @@
 
         self.assertEqual(hostworld.play(scenario, HostProcess), (200, None))
 
+    def test_changed_settings_are_in_force(self):
+        """Guards against settings that are only read at the start."""
+
+        async def scenario(world):
+            document = yaml.safe_load(world.path.read_text())
+            document |= {'retry_share': 0.1, 'store': '127.0.0.1:9'}
+            world.path.write_text(yaml.safe_dump(document))
+            world.process.send_signal(signal.SIGHUP)
+            await loops.until(lambda: world.lines('settings read'))
+            answer = await world.ask('/statement/x')
+            return world.lines('settings read')[0], answer.status
+
+        line, status = hostworld.play(scenario, HostProcess)
+        self.assertEqual(line['in_force'], ['retry_share'])
+        self.assertEqual(line['need_restart'], ['store'])
+        self.assertEqual(status, 200)
+
+    def test_stopped_host_has_no_entry(self):
+        """Guards against limits shared with a host that has left."""
+        key = f'{wire.HOSTS_PREFIX}host-1'
+
+        async def scenario(world):
+            await loops.until(lambda: key in world.store.items_by_key)
+            world.process.send_signal(signal.SIGTERM)
+            exit_status = await world.wait_stopped()
+            return exit_status, key in world.store.items_by_key
+
+        self.assertEqual(hostworld.play(scenario, HostProcess), (0, False))
+
 
 class SettingsTest(unittest.TestCase):
     def check(self, document):
--- /dev/null
+++ b/tests/test_store_troubles.py
@@ -0,0 +1,158 @@
+"""A host beside a platform's store that is slow, stale, lossy or refusing."""
+
+import functools
+import unittest
+from unittest import mock
+
+import curio
+
+from cardamomflow import directory, following
+from cardamomflow.platform import wire
+from tests import hostworld, loops
+
+OWN_KEY = f'{wire.HOSTS_PREFIX}host-1'
+
+
+def is_listed(world):
+    """Tell whether the host has an entry under a lease that lives."""
+    item = world.store.items_by_key.get(OWN_KEY)
+    return item is not None and item.lease in world.store.leases
+
+
+def has_route(world, path):
+    """Tell whether a route leads from a path."""
+    return world.host._table.find('shop.example', path)
+
+
+async def lose_an_answer(store, kind):
+    """End the host's lease, and lose an answer to what it does then."""
+    store.loses_answers_of = {kind}
+    store.end_lease(store.items_by_key[OWN_KEY].lease)
+    calls = store.calls_by_kind[kind]
+    await loops.until(lambda: store.calls_by_kind[kind] > calls)
+    store.loses_answers_of = set()
+
+
+class StoreTroubleTest(unittest.TestCase):
+    def setUp(self):
+        interval = mock.patch.object(following, 'ANNOUNCE_INTERVAL_S', 0.05)
+        interval.start()
+        self.addCleanup(interval.stop)
+
+    def test_slow_store_is_followed(self):
+        """Guards against a host that gives up on a store that is slow."""
+
+        async def scenario(world):
+            world.store.delay_s = 0.3
+            world.publish(9, prefix='/search/')
+            await loops.until(lambda: has_route(world, '/search/x'))
+            return (await world.ask('/search/x')).status
+
+        self.assertEqual(hostworld.play(scenario), 200)
+
+    def test_refused_calls_change_nothing(self):
+        """Guards against a host without routes after calls over the rate."""
+
+        async def scenario(world):
+            world.store.is_over_rate = True
+            calls = world.store.calls_by_kind
+            await loops.until(lambda: calls['kv-watch'] > 3)
+            during = (await world.ask('/lookup/x')).status
+            world.store.is_over_rate = False
+            world.publish(9, prefix='/search/')
+            await loops.until(lambda: has_route(world, '/search/x'))
+            return during
+
+        self.assertEqual(hostworld.play(scenario), 200)
+
+    def test_refused_calls_are_not_repeated_at_once(self):
+        """Guards against a fleet that keeps the store over its rate."""
+
+        async def scenario(world):
+            world.store.is_over_rate = True
+            before = world.store.calls_by_kind['kv-watch']
+            await curio.sleep(1)
+            return world.store.calls_by_kind['kv-watch'] - before
+
+        calls = hostworld.play(scenario)
+        self.assertLess(calls, 1 / following.RETRY_MINIMUM_S + 2)
+
+    def test_lost_answers_leave_one_entry(self):
+        """Guards against a host that is not counted after a lost answer."""
+
+        async def scenario(world):
+            for kind in ('kv-txn', 'kv-lease', 'kv-keep'):
+                await loops.until(functools.partial(is_listed, world))
+                await lose_an_answer(world.store, kind)
+            await loops.until(functools.partial(is_listed, world))
+            return [
+                key
+                for key in world.store.items_by_key
+                if key.startswith(wire.HOSTS_PREFIX)
+            ]
+
+        self.assertEqual(hostworld.play(scenario), [OWN_KEY])
+
+    def test_stale_list_without_this_host_counts_it(self):
+        """Guards against shares of limits that leave this host out."""
+        counted = []
+
+        async def scenario(world):
+            take = world.host.hosts_counted
+
+            async def count(hosts):
+                counted.append(hosts)
+                await take(hosts)
+
+            world.host.hosts_counted = count
+            await loops.until(functools.partial(is_listed, world))
+            world.store.put(f'{wire.HOSTS_PREFIX}other', '')
+            world.store.remove(OWN_KEY)
+            world.store.keep_stale()
+            counted.clear()
+            await loops.until(lambda: is_listed(world) and len(counted) > 3)
+
+        hostworld.play(scenario)
+        self.assertEqual(set(counted), {2})
+
+    def test_lapsed_entries_are_kept_until_they_are_back(self):
+        """Guards against refusals while entries that lapsed return."""
+
+        async def scenario(world):
+            world.store.is_down = True
+            await loops.until(
+                lambda: world.host.platform_heard_at < world.host._clock() - 0.2
+            )
+            for backend_id in ('a0', 'a1'):
+                world.store.remove(f'{wire.BACKENDS_PREFIX}{backend_id}')
+            world.store.is_down = False
+            await curio.sleep(directory.LAPSE_HOLD_S / 2)
+            during = await world.ask('/statement/x')
+            for backend_id in ('a0', 'a1'):
+                world.list_backend(backend_id, 'a', sequence=2)
+            await curio.sleep(directory.LAPSE_HOLD_S)
+            return during.status, (await world.ask('/statement/x')).status
+
+        self.assertEqual(hostworld.play(scenario), (200, 200))
+
+    def test_vanished_entries_are_dropped_after_the_hold(self):
+        """Guards against work for backend servers that died in an outage."""
+
+        async def scenario(world):
+            world.store.is_down = True
+            await loops.until(
+                lambda: world.host.platform_heard_at < world.host._clock() - 0.2
+            )
+            world.store.remove(f'{wire.BACKENDS_PREFIX}a0')
+            world.store.is_down = False
+            await loops.until(
+                lambda: world.host.directory.usable('a') == ('a1',),
+                2 * directory.LAPSE_HOLD_S,
+            )
+            return True
+
+        self.assertTrue(hostworld.play(scenario))
+
+
+if __name__ == '__main__':
+    unittest.main()
