--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -101,7 +101,7 @@
             'store_calls': {'writes_per_s': 3},
         }
         with mock.patch.object(core.curio, 'run') as run:
-            core._start_aggregator(document)
+            core._start_aggregator(mock.Mock(load=lambda: document))
         found = run.call_args.args[-1]
         self.assertEqual(found._options.writes_per_s, 3)
         self.assertEqual(found._options.reads_per_s, 150)
