Serve the figures of every process on its metrics address

Counters were summed in the process; entries and aggregators could send them to statsd, which nothing here reads, agents and hosts sent them nowhere. Each process now serves counters, gauges and histograms as text on the address 'metrics' of its settings, through prometheus-client's registry. Names with units, labels and meanings are one table, measures; a test finds a name that is counted but not listed. A host counts sent attempts, first and further, and tells the age of what it knows.

prometheus-client's own server was ruled out: it starts a thread. statsd was removed with its settings 'port', 'prefix' and 'flush_interval_ms'.

--- a/cardamomflow/agent.py
+++ b/cardamomflow/agent.py
@@ -19,6 +19,7 @@
     links,
     localserver,
     membership,
+    metricspage,
     peers,
     propagation,
     shutdown,
@@ -64,7 +65,7 @@
     """
     agent = Agent(settings, context, platform, options)
     supervisor = shutdown.Supervisor(context.journal)
-    await supervisor.start(agent.serve)
+    await supervisor.start(agent.serve, *metricspage.from_settings(context))
     healthy = await supervisor.wait()
     await agent.leave()
     return exits.ExitStatus.OK if healthy else exits.ExitStatus.FAILED
--- a/cardamomflow/context.py
+++ b/cardamomflow/context.py
@@ -50,7 +50,7 @@
             log_output,
         ),
         log_output=log_output,
-        metrics=telemetry.create(settings.get('metrics')),
+        metrics=telemetry.Metrics(),
         tracer=tracing.Tracer(
             process_id,
             generator,
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -16,11 +16,11 @@
     hosting,
     links,
     localview,
+    metricspage,
     operations,
     reloading,
     shutdown,
     sources,
-    telemetry,
     webserver,
 )
 from cardamomflow import settings as settings_module
@@ -82,7 +82,10 @@
     program.other_zones_age_s = lambda: view.other_zones_age_s
     supervisor = shutdown.Supervisor(around.journal)
     await supervisor.start(
-        server.serve, view.run, program.aggregators.run, _flusher(around)
+        server.serve,
+        view.run,
+        program.aggregators.run,
+        *metricspage.from_settings(around),
     )
     around.journal.info('started', port=server.port)
     healthy = await supervisor.wait()
@@ -123,7 +126,7 @@
         program.run_pause_checks,
         functools.partial(program.run_view_checks, view),
         runner.run_background,
-        _flusher(around),
+        *metricspage.from_settings(around),
     )
     around.journal.info('started', port=server.port)
     healthy = await supervisor.wait()
@@ -179,6 +182,7 @@
             follower.follow,
             follower.expire_backends,
             functools.partial(follower.announce, settings['host']['id']),
+            *metricspage.from_settings(around),
         ),
         follower,
     )
@@ -247,16 +251,6 @@
     return await program.stop(timeout_s) and drained
 
 
-def _flusher(around: context.Context) -> Any:
-    interval_s = telemetry.flush_interval_s(around.settings.get('metrics'))
-
-    async def flush() -> None:
-        await around.metrics.run(interval_s)
-
-    return flush
-
-
 def _end(around: context.Context, *, clean: bool) -> exits.ExitStatus:
-    around.metrics.flush()
     around.journal.info('stopped', clean=clean)
     return exits.ExitStatus.OK if clean else exits.ExitStatus.FAILED
--- a/cardamomflow/entry.py
+++ b/cardamomflow/entry.py
@@ -30,7 +30,6 @@
 DEFAULT_MAX_IN_FLIGHT = 512
 MAX_UNIX_S = 1_000_000_000_000
 LOOKUP_S = 2.0
-_MS = 1000
 _OK = 200
 _ACCEPTED = 202
 _OPERATIONS_PATH = '/v1/operations/'
@@ -194,9 +193,8 @@
             response = await answer(caller, document)
         finally:
             self._gate.leave(caller.rank, caller.customer)
-        elapsed_ms = (self._clock() - started_at) * _MS
-        self._metrics.timing(
-            f'entry.latency.{caller.rank.label}_ms', elapsed_ms
+        self._metrics.observe(
+            'entry.latency', caller.rank.label, self._clock() - started_at
         )
         self._metrics.increment(f'entry.answered.{caller.rank.label}')
         return response
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -75,6 +75,7 @@
         )
         self.platform_heard_at = around.clock()
         self._request_log = requestlog.RequestLog(around.journal, around.clock)
+        self._measure()
         self._hosts = ASSUMED_HOSTS
         self._hosts_until = float('-inf')
         self._share_with(self._hosts)
@@ -184,6 +185,9 @@
             ending = work.end()
             await self._cancel_if_left(work)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
+        self._metrics.observe(
+            'host.latency', route.rank.label, self._clock() - work.started_at
+        )
         self._log_request(work, ending)
         _check(work, ending, self._come_back_s())
         return work
@@ -214,6 +218,7 @@
             self._request_log.summarise()
             dropped = self._context.log_output.take_dropped()
             if dropped:
+                self._metrics.increment('host.log_lost', dropped)
                 self._context.journal.warning('log lines lost', lines=dropped)
 
     def _come_back_s(self) -> float:
@@ -266,6 +271,9 @@
 
     async def _send(self) -> None:
         for attempt in self._dispatcher.take_sends():
+            is_first = attempt.backend_id == attempt.leg.asked[0]
+            kind = 'first' if is_first else 'further'
+            self._metrics.increment(f'host.sent.{kind}')
             await self.transport.send(attempt)
 
     async def _cancel_if_left(self, work: gathering.Work) -> None:
@@ -279,6 +287,17 @@
         for attempt in work.open_attempts():
             await self.transport.cancel(attempt)
 
+    def _measure(self) -> None:
+        """Let the metrics read what the host knows."""
+        gauges = {
+            'platform_age': lambda: self._clock() - self.platform_heard_at,
+            'known_hosts': lambda: self._hosts,
+            'backend_servers': lambda: len(self.directory.backends_by_id),
+            'open_requests': lambda: len(self._changed_by_work),
+        }
+        for name, read in gauges.items():
+            self._metrics.gauge_from(f'host.{name}', read)
+
     def _share_with(self, hosts: int) -> None:
         self._dispatcher.share(
             dispatching.Sharing(
--- a/cardamomflow/operations.py
+++ b/cardamomflow/operations.py
@@ -280,7 +280,7 @@
         self, action: writes.Load | writes.Store | writes.Delete
     ) -> None:
         self._context.metrics.increment(
-            f'operations.platform_{type(action).__name__.lower()}'
+            f'operations.store_calls.{type(action).__name__.lower()}'
         )
         if isinstance(action, writes.Load):
             await self._load(action)
@@ -288,7 +288,7 @@
         outcome, present = await self._change(action)
         if outcome is not writes.StoreOutcome.APPLIED:
             self._context.metrics.increment(
-                f'operations.platform_{outcome.value}'
+                f'operations.store_calls.{outcome.value}'
             )
         await self._perform(
             self._ledger.stored(action, outcome, present, self._now())
--- a/cardamomflow/telemetry.py
+++ b/cardamomflow/telemetry.py
@@ -1,86 +1,92 @@
-"""Counters, gauges and timings, sent to statsd; owns their sums.
+"""Counters, gauges and durations of one process; owns their sums.
 
-Values are summed in the process and leave in one pipeline for each flush
-interval, so that the cost does not grow with traffic.
+They are served as text on the metrics address of the settings. Names, labels
+and meanings stand in `measures`.
 """
 
 import collections
+from collections.abc import Callable, Iterable
 
-import curio
-import statsd
+import prometheus_client
+from prometheus_client import exposition, metrics_core, registry
 
-DEFAULT_FLUSH_INTERVAL_S = 1.0
-MAX_TIMINGS_PER_FLUSH = 1000
-_MS = 1000
+from cardamomflow import measures
 
+PREFIX = 'cardamomflow_'
+_UNLISTED = f'{PREFIX}unlisted_events'
 
-class Metrics:
+_COUNTERS_BY_NAME = {measure.name: measure for measure in measures.COUNTERS}
+_GAUGES_BY_NAME = {measure.name: measure for measure in measures.GAUGES}
+
+
+class Metrics(registry.Collector):
     """Sums of one process."""
 
-    def __init__(self, client: statsd.StatsClient | None = None) -> None:
-        """Take the statsd client, or None to keep the sums only."""
+    def __init__(self) -> None:
+        """Start with all counters at zero."""
         self.totals_by_name: collections.Counter[str] = collections.Counter()
-        self._client = client
-        self._unsent: collections.Counter[str] = collections.Counter()
-        self._gauges_by_name: dict[str, float] = {}
-        self._timings: list[tuple[str, float]] = []
+        self._readers_by_name: dict[str, Callable[[], float]] = {}
+        self._registry = registry.CollectorRegistry()
+        self._durations_by_name = {
+            measure.name: prometheus_client.Histogram(
+                f'{PREFIX}{measure.exposed}',
+                measure.meaning,
+                (measure.label,),
+                buckets=measures.DURATION_BOUNDS_S,
+                registry=self._registry,
+            )
+            for measure in measures.DURATIONS
+        }
+        self._registry.register(self)
 
     def increment(self, name: str, count: int = 1) -> None:
-        """Add to a counter."""
+        """Add to a counter; the value of its label follows a dot."""
         self.totals_by_name[name] += count
-        self._unsent[name] += count
 
     def gauge(self, name: str, value: float) -> None:
-        """Set a gauge; the name carries the unit."""
-        self._gauges_by_name[name] = value
-
-    def timing(self, name: str, duration_ms: float) -> None:
-        """Add a duration in milliseconds; the name ends in `_ms`.
-
-        Timings over `MAX_TIMINGS_PER_FLUSH` are dropped and counted.
-        """
-        if len(self._timings) < MAX_TIMINGS_PER_FLUSH:
-            self._timings.append((name, duration_ms))
-        else:
-            self.increment('metrics.timings_dropped')
-
-    def flush(self) -> None:
-        """Send what was summed since the last flush."""
-        counts, self._unsent = self._unsent, collections.Counter()
-        timings, self._timings = self._timings, []
-        if self._client is None:
-            return
-        with self._client.pipeline() as pipeline:
-            for name, count in counts.items():
-                pipeline.incr(name, count)
-            for gauge, value in self._gauges_by_name.items():
-                pipeline.gauge(gauge, value)
-            for timing, duration_ms in timings:
-                pipeline.timing(timing, duration_ms)
-
-    async def run(self, flush_interval_s: float) -> None:
-        """Flush at intervals until cancelled."""
-        while True:
-            await curio.sleep(flush_interval_s)
-            self.flush()
-
-
-def create(settings: dict | None) -> Metrics:
-    """Return the metrics of a process from its settings."""
-    if settings is None:
-        return Metrics()
-    return Metrics(
-        statsd.StatsClient(
-            settings['address'],
-            settings['port'],
-            prefix=settings.get('prefix', 'cardamomflow'),
-        )
-    )
-
-
-def flush_interval_s(settings: dict | None) -> float:
-    """Return the flush interval of the settings in seconds."""
-    interval_ms = (settings or {}).get('flush_interval_ms')
-    if interval_ms is None:
-        return DEFAULT_FLUSH_INTERVAL_S
-    return interval_ms / _MS
+        """Set a gauge."""
+        self._readers_by_name[name] = lambda: value
+
+    def gauge_from(self, name: str, read: Callable[[], float]) -> None:
+        """Let a function tell a gauge when it is asked for."""
+        self._readers_by_name[name] = read
+
+    def observe(self, name: str, label: str, duration_s: float) -> None:
+        """Add a duration in seconds."""
+        self._durations_by_name[name].labels(label).observe(duration_s)
+
+    def render(self) -> bytes:
+        """Return all figures as text."""
+        return exposition.generate_latest(self._registry)
+
+    def collect(self) -> Iterable[metrics_core.Metric]:
+        """Return counters and gauges as the library takes them."""
+        families: dict[str, metrics_core.Metric] = {}
+        for name, total in self.totals_by_name.items():
+            measure, labels = find_counter(name)
+            exposed = f'{PREFIX}{measure.exposed}' if measure else _UNLISTED
+            label = measure.label if measure else 'name'
+            family = families.setdefault(
+                exposed,
+                metrics_core.CounterMetricFamily(
+                    exposed,
+                    measure.meaning if measure else 'Not in the table.',
+                    labels=[label] if label else [],
+                ),
+            )
+            family.add_metric(labels, total)
+        yield from families.values()
+        for name, read in self._readers_by_name.items():
+            measure = _GAUGES_BY_NAME[name]
+            yield metrics_core.GaugeMetricFamily(
+                f'{PREFIX}{measure.exposed}', measure.meaning, read()
+            )
+
+
+def find_counter(name: str) -> tuple[measures.Measure | None, list[str]]:
+    """Return the measure of a counter and the values of its labels."""
+    if name in _COUNTERS_BY_NAME:
+        return _COUNTERS_BY_NAME[name], []
+    head, _, label = name.rpartition('.')
+    measure = _COUNTERS_BY_NAME.get(head)
+    return measure, [label] if measure else [name]
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -164,6 +164,8 @@
             ('{{region|json}}', '"r"'),
             ('{{zone|json}}', '"z"'),
             ('{{listen.front|json}}', '"10.1.0.9:8104"'),
+            ('{{ip}}', '10.1.0.9'),
+            ('{{internal_ports.0}}', '7380'),
             ('{{listen.ready|json}}', '"10.1.0.9:8108"'),
             ('{{platform.address|json}}', '"10.2.0.7:8102"'),
             ('{{bounds.retry_ratio|json}}', '0.2'),
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,117 @@
+"""Figures of a process: names, units, labels and their address."""
+
+import pathlib
+import re
+import unittest
+
+from prometheus_client import parser
+
+from cardamomflow import measures, metricspage, telemetry, webserver
+from tests import hostworld, loops
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_COUNTED = re.compile(
+    r"\.(increment|gauge|gauge_from|observe)\(\s*f?'([a-z_.]+)"
+)
+_TABLES_BY_CALL = {
+    'increment': measures.COUNTERS,
+    'gauge': measures.GAUGES,
+    'gauge_from': measures.GAUGES,
+    'observe': measures.DURATIONS,
+}
+
+
+def samples(text):
+    """Return the values of an exposition by name and label value."""
+    return {
+        (sample.name, *sorted(sample.labels.values())): sample.value
+        for family in parser.text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+class TableTest(unittest.TestCase):
+    def test_everything_that_is_counted_is_listed(self):
+        """Guards against a figure without a unit or a meaning."""
+        unlisted = set()
+        for path in (ROOT / 'cardamomflow').rglob('*.py'):
+            for call, name in _COUNTED.findall(path.read_text()):
+                names = {row.name for row in _TABLES_BY_CALL[call]}
+                if name.rstrip('.') not in {*names, 'host'}:
+                    unlisted.add(name)
+        self.assertEqual(unlisted, set())
+
+    def test_names_are_unique(self):
+        """Guards against two figures under one name."""
+        rows = (*measures.COUNTERS, *measures.GAUGES, *measures.DURATIONS)
+        for names in (
+            [row.name for row in rows],
+            [row.exposed for row in rows],
+        ):
+            self.assertEqual(len(names), len(set(names)))
+
+    def test_page_of_the_docs_is_complete(self):
+        """Guards against a page that lags behind the table."""
+        page = (ROOT / 'docs' / 'metrics.md').read_text()
+        for row in (*measures.COUNTERS, *measures.GAUGES, *measures.DURATIONS):
+            self.assertIn(f'`{telemetry.PREFIX}{row.exposed}', page)
+            self.assertIn(row.meaning, page)
+
+
+class ExpositionTest(unittest.TestCase):
+    def test_counters_gauges_and_durations(self):
+        """Guards against figures that a reader can not parse."""
+        metrics = telemetry.Metrics()
+        metrics.increment('host.ended.answered', 2)
+        metrics.increment('process.paused')
+        metrics.gauge('configuration.revision', 7)
+        metrics.gauge_from('host.platform_age', lambda: 0.5)
+        metrics.observe('host.latency', 'urgent', 0.04)
+        found = samples(metrics.render().decode())
+        prefix = telemetry.PREFIX
+        self.assertEqual(found[f'{prefix}host_requests_total', 'answered'], 2)
+        self.assertEqual(found[(f'{prefix}process_pauses_total',)], 1)
+        self.assertEqual(found[(f'{prefix}configuration_revision',)], 7)
+        self.assertEqual(found[(f'{prefix}host_platform_age_seconds',)], 0.5)
+        bucket = f'{prefix}host_request_duration_seconds_bucket'
+        self.assertEqual(found[bucket, '0.025', 'urgent'], 0)
+        self.assertEqual(found[bucket, '0.05', 'urgent'], 1)
+
+    def test_unlisted_counter_is_shown(self):
+        """Guards against counts that nobody can read."""
+        metrics = telemetry.Metrics()
+        metrics.increment('nowhere.listed')
+        found = samples(metrics.render().decode())
+        name = f'{telemetry.PREFIX}unlisted_events_total'
+        self.assertEqual(found[name, 'nowhere.listed'], 1)
+
+
+class PageTest(unittest.TestCase):
+    def test_page_of_a_host(self):
+        """Guards against a host whose requests are not counted."""
+
+        async def scenario(world):
+            page = metricspage.MetricsPage(world.host._metrics)
+            async with loops.serving(
+                webserver.WebServer('127.0.0.1', 0, page)
+            ) as port:
+                await world.ask('/lookup/x')
+                await world.ask('/nowhere/x')
+                answer = await world.ask('/metrics', port=port)
+                other = await world.ask('/other', port=port)
+            return answer.body.decode(), other.status
+
+        text, status = hostworld.play(scenario)
+        found = samples(text)
+        prefix = f'{telemetry.PREFIX}host_'
+        self.assertEqual(found[f'{prefix}requests_total', 'answered'], 1)
+        self.assertEqual(found[f'{prefix}sent_attempts_total', 'first'], 2)
+        self.assertEqual(
+            found[f'{prefix}failed_requests_total', 'not_found'], 1
+        )
+        self.assertEqual(found[(f'{prefix}listed_backend_servers',)], 4)
+        self.assertEqual(status, 404)
+
+
+if __name__ == '__main__':
+    unittest.main()
