--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -1,6 +1,7 @@
 """A host and the users' platform in one loop, over real sockets."""
 
 import contextlib
+import itertools
 import json
 from typing import NamedTuple
 
@@ -31,12 +32,13 @@
 class HostWorld:
     """Owns the stand-ins and the host; use it in an `async with` block."""
 
-    def __init__(self, services=('a', 'b'), replicas=2):
+    def __init__(self, services=('a', 'b'), replicas=2, zones=('z1',)):
         self.store = users.Store()
         self.backends_by_id = {}
         self._ports_by_id = {}
         self._services = services
         self._replicas = replicas
+        self._zones = itertools.cycle(zones)
         self._stack = contextlib.AsyncExitStack()
         self._tasks = []
 
@@ -46,7 +48,8 @@
         )
         for service in self._services:
             for number in range(self._replicas):
-                await self.add_backend(f'{service}{number}', service)
+                zone = next(self._zones)
+                await self.add_backend(f'{service}{number}', service, zone=zone)
         self.publish(1)
         await self.start_host(store_port)
         return self
@@ -84,14 +87,14 @@
         await self.stop_host()
         await self._stack.aclose()
 
-    async def add_backend(self, backend_id, service):
+    async def add_backend(self, backend_id, service, **fields):
         """Start a backend server and list it."""
         backend = users.BackendServer(backend_id, b'')
         server = webserver.WebServer('127.0.0.1', 0, backend)
         port = await self._serve(server)
         self.backends_by_id[backend_id] = backend
         self._ports_by_id[backend_id] = port
-        self.list_backend(backend_id, service)
+        self.list_backend(backend_id, service, **fields)
         return backend
 
     def list_backend(self, backend_id, service, **fields):
