Tell every attempt of a logged request, and name events in an enum

A line named only the open attempts of services without part: failed ones, hedges and what a late answer waited for were not in the log. A line now has a span for each attempt at the services that say most, 12 at most.

Entries and aggregators wrote no line about a request. Refusals and partial answers have one now, with the revision and age that decided, bounded as those of a host; operations that may not be repeated always have theirs.

--- a/cardamomflow/agent.py
+++ b/cardamomflow/agent.py
@@ -14,6 +14,7 @@
 from google.protobuf import message as protobuf_message
 
 from cardamomflow import (
+    events,
     exits,
     hostsigns,
     links,
@@ -65,7 +66,9 @@
     """
     agent = Agent(settings, context, platform, options)
     supervisor = shutdown.Supervisor(context.journal)
-    await supervisor.start(agent.serve, *metricspage.from_settings(context))
+    await supervisor.start(
+        agent.serve, *metricspage.tasks(context, settings.get('metrics'))
+    )
     healthy = await supervisor.wait()
     await agent.leave()
     return exits.ExitStatus.OK if healthy else exits.ExitStatus.FAILED
@@ -126,7 +129,7 @@
         control = self._settings['control']
         listener = _listen(control, socket.SOCK_STREAM)
         self._peers.udp = _listen(control, socket.SOCK_DGRAM)
-        self._context.journal.info('agent serves on port {}', control['port'])
+        self._context.journal.info(events.Event.STARTED, port=control['port'])
         try:  # noqa: WPS501  # no exception is handled here
             await self._serve(listener, self._peers.udp)
         finally:
@@ -135,7 +138,7 @@
 
     async def leave(self) -> None:
         """Tell peers and local processes, and serve them a moment longer."""
-        self._context.journal.info('agent leaves')
+        self._context.journal.info(events.Event.STOPPING)
         now = time.monotonic()
         await self._peers.perform(self._peers.members.leave(now))
         await self._push_when_due(now)
@@ -256,7 +259,9 @@
             alive = control_pb2.Message(local_view=self._empty_view(now))
             await localserver.post(link, alive)
             return
-        self._context.journal.info('{} registered', hello.process_id)
+        self._context.journal.info(
+            events.Event.PROCESS_REGISTERED, process_id=hello.process_id
+        )
         await self._tell_local_change()
         await self._processes.push(
             self._local_view(now), self._peers.spread.current, only=link
--- a/cardamomflow/aggregator.py
+++ b/cardamomflow/aggregator.py
@@ -16,6 +16,7 @@
     configuration,
     context,
     errors,
+    events,
     hedging,
     hops,
     jobs,
@@ -23,6 +24,7 @@
     liveness,
     localview,
     operations,
+    requestlog,
     retries,
     routing,
     rules,
@@ -56,6 +58,7 @@
         self._clock = around.clock
         self._runner = runner
         self.alarms = alarms.Alarms(around.clock)
+        self.request_log = requestlog.RequestLog(around.journal, around.clock)
         self._configuration: configuration.Configuration | None = None
         self._routing = routing.ZoneRouting(())
         self._links: set[links.Link[wire_pb2.Envelope]] = set()
@@ -83,7 +86,7 @@
             await group.apply(new.register, self._surroundings())
         await self._apply_ownership()
         self._context.journal.info(
-            'configuration in force', revision=new.revision
+            events.Event.CONFIGURATION_IN_FORCE, revision=new.revision
         )
 
     async def zones_changed(
@@ -169,9 +172,7 @@
         """Handle a frame of an entry."""
         match message.WhichOneof('body'):
             case 'query' if self.stopping:
-                await _refuse(
-                    self._context, link, message.query, errors.Stopping.code
-                )
+                await self._refuse(link, message.query, errors.Stopping)
             case 'query':
                 self._context.metrics.increment('aggregator.queries')
                 await self._jobs.start(link, message.query)
@@ -187,6 +188,27 @@
             case 'pong':
                 self.take_pong(link, message.pong)
 
+    async def _refuse(
+        self,
+        link: links.Link[wire_pb2.Envelope],
+        request: wire_pb2.QueryRequest | wire_pb2.OperationRequest,
+        reason: type[errors.FlowError],
+    ) -> None:
+        """Refuse a request before any work."""
+        self._context.metrics.increment(f'aggregator.refused.{reason.code}')
+        self.request_log.refused(
+            request.request_id,
+            reason('nothing was started for this request'),
+            repeatable=isinstance(request, wire_pb2.QueryRequest),
+            services_held=len(self.groups_by_service),
+        )
+        refusal = wire_pb2.Refusal(
+            attempt_id=request.attempt_id,
+            request_id=request.request_id,
+            error_code=reason.code,
+        )
+        await _post_quietly(link, wire_pb2.Envelope(refusal=refusal))
+
     async def closed(self, link: links.Link[wire_pb2.Envelope]) -> None:
         """Give up the queries of an entry that is gone."""
         self._links.discard(link)
@@ -199,10 +221,10 @@
     ) -> None:
         group = self.groups_by_service.get(request.service)
         if self.stopping:
-            await _refuse(self._context, link, request, errors.Stopping.code)
+            await self._refuse(link, request, errors.Stopping)
             return
         if group is None:
-            await _refuse(self._context, link, request, errors.NotOwner.code)
+            await self._refuse(link, request, errors.NotOwner)
             return
         group.active = True
         self._operations_open += 1
@@ -256,7 +278,7 @@
             is_old = view.age_s > MAX_VIEW_AGE_S
             if is_old and self.groups_by_service:
                 released = True
-                self._context.journal.warning('view of the members too old')
+                self._context.journal.warning(events.Event.VIEW_OLD)
                 await self._drop_all()
             elif released and not is_old:
                 released = False
@@ -273,7 +295,7 @@
             await curio.sleep(_PAUSE_CHECK_S)
             if detector.check(self._clock()):
                 self._context.metrics.increment('process.paused')
-                self._context.journal.warning('resumed after a pause')
+                self._context.journal.warning(events.Event.RESUMED)
                 await self._drop_all()
                 await curio.sleep(PAUSE_LIMIT_S)
                 await self._apply_ownership()
@@ -382,18 +404,3 @@
         map_revision=found.map_revision,
         shards=sorted(found.shards),
     )
-
-
-async def _refuse(
-    around: context.Context,
-    link: links.Link[wire_pb2.Envelope],
-    request: wire_pb2.QueryRequest | wire_pb2.OperationRequest,
-    code: str,
-) -> None:
-    around.metrics.increment(f'aggregator.refused.{code}')
-    refusal = wire_pb2.Refusal(
-        attempt_id=request.attempt_id,
-        request_id=request.request_id,
-        error_code=code,
-    )
-    await _post_quietly(link, wire_pb2.Envelope(refusal=refusal))
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -11,6 +11,7 @@
     authorities,
     context,
     entry,
+    events,
     exits,
     following,
     hosting,
@@ -19,6 +20,7 @@
     metricspage,
     operations,
     reloading,
+    requestlog,
     shutdown,
     sources,
     webserver,
@@ -85,11 +87,12 @@
         server.serve,
         view.run,
         program.aggregators.run,
-        *metricspage.from_settings(around),
+        functools.partial(_summarise, around, program.request_log),
+        *metricspage.tasks(around, around.settings.get('metrics')),
     )
-    around.journal.info('started', port=server.port)
+    around.journal.info(events.Event.STARTED, port=server.port)
     healthy = await supervisor.wait()
-    around.journal.info('stopping')
+    around.journal.info(events.Event.STOPPING)
     program.stopping = True
     server.announce_stop()
     await _wait_for_senders(around)
@@ -126,11 +129,12 @@
         program.run_pause_checks,
         functools.partial(program.run_view_checks, view),
         runner.run_background,
-        *metricspage.from_settings(around),
+        functools.partial(_summarise, around, program.request_log),
+        *metricspage.tasks(around, around.settings.get('metrics')),
     )
-    around.journal.info('started', port=server.port)
+    around.journal.info(events.Event.STARTED, port=server.port)
     healthy = await supervisor.wait()
-    around.journal.info('stopping')
+    around.journal.info(events.Event.STOPPING)
     await program.announce_leaving()
     await view.leave()
     await _wait_for_senders(around)
@@ -178,11 +182,11 @@
         (
             program.transport.sweep,
             program.zones.run,
-            program.summarise,
+            functools.partial(_summarise, around, program.request_log),
             follower.follow,
             follower.expire_backends,
             functools.partial(follower.announce, settings['host']['id']),
-            *metricspage.from_settings(around),
+            *metricspage.tasks(around, around.settings.get('metrics')),
         ),
         follower,
     )
@@ -203,12 +207,12 @@
         parts.callers.serve, parts.readiness.serve, watch.run, *parts.tasks
     )
     around.journal.info(
-        'started',
+        events.Event.STARTED,
         port=parts.callers.port,
         readiness_port=parts.readiness.port,
     )
     healthy = await supervisor.wait()
-    around.journal.info('stopping')
+    around.journal.info(events.Event.STOPPING)
     parts.program.stopping = True
     parts.callers.announce_stop()
     await parts.follower.leave()
@@ -251,6 +255,19 @@
     return await program.stop(timeout_s) and drained
 
 
+async def _summarise(
+    around: context.Context, request_log: requestlog.RequestLog
+) -> None:
+    """Log sums of requests and lost lines at intervals until cancelled."""
+    while True:
+        await curio.sleep(requestlog.SUMMARY_INTERVAL_S)
+        request_log.summarise()
+        lost = around.log_output.take_dropped()
+        if lost:
+            around.metrics.increment('log.lost', lost)
+            around.journal.warning(events.Event.LINES_LOST, lines=lost)
+
+
 def _end(around: context.Context, *, clean: bool) -> exits.ExitStatus:
-    around.journal.info('stopped', clean=clean)
+    around.journal.info(events.Event.STOPPED, clean=clean)
     return exits.ExitStatus.OK if clean else exits.ExitStatus.FAILED
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -221,6 +221,8 @@
     ) -> None:
         backend_id = attempt.backend_id
         attempt.leg.open_attempts.remove(attempt)
+        attempt.ended_at = now
+        attempt.outcome = outcome.name.lower()
         self.occupancy.ended(backend_id)
         latency_s = now - attempt.started_at
         self._chooser.observe(backend_id, outcome, latency_s, now)
@@ -272,6 +274,7 @@
         attempt = gathering.Attempt(leg, backend_id, zone, now)
         leg.asked.append(backend_id)
         leg.open_attempts.append(attempt)
+        leg.attempts.append(attempt)
         self.occupancy.started(backend_id)
         self._chooser.started(backend_id, now)
         self._sends.append(attempt)
--- a/cardamomflow/entry.py
+++ b/cardamomflow/entry.py
@@ -15,10 +15,12 @@
     configuration,
     context,
     errors,
+    events,
     fanout,
     forwarding,
     gate,
     localview,
+    requestlog,
     routing,
     rules,
     scatter,
@@ -53,6 +55,7 @@
         self._clock = around.clock
         self._metrics = around.metrics
         self._zone = around.settings['host']['availability_zone']
+        self.request_log = requestlog.RequestLog(around.journal, around.clock)
         self._gate = gate.InFlightGate(
             around.settings.get('max_in_flight', DEFAULT_MAX_IN_FLIGHT)
         )
@@ -81,7 +84,7 @@
         self._catalog.invalidate()
         self._metrics.gauge('configuration.revision', new.revision)
         self._context.journal.info(
-            'configuration in force', revision=new.revision
+            events.Event.CONFIGURATION_IN_FORCE, revision=new.revision
         )
         await self._apply_links()
 
@@ -182,6 +185,12 @@
             return await self._admit(caller, document, answer)
         except errors.FlowError as error:
             self.failed(error)
+            self.request_log.refused(
+                known or '',
+                error,
+                repeatable=answer != self._operation,
+                **self._knowledge(),
+            )
             return webhandler.error_response(error, known)
 
     async def _admit(
@@ -234,6 +243,16 @@
         summary = merged.summary()
         if summary.missing:
             self._metrics.increment(f'entry.partial.{caller.rank.label}')
+            self.request_log.told(
+                caller.request_id,
+                'partial',
+                repeatable=True,
+                rank=caller.rank.label,
+                parts=summary.answered,
+                asked=done.needed,
+                missing=summary.missing[: requestlog.DESCRIBED_SERVICES],
+                **self._knowledge(),
+            )
         if not summary.answered:
             raise errors.DeadlineExceeded(
                 f'no shard answered in time: {summary.missing[0]["reason"]}'
@@ -349,6 +368,14 @@
         answer = await sending.run()
         outcome = _outcome_name(answer.outcome)
         if answer.error_code:
+            self.request_log.told(
+                caller.request_id,
+                outcome,
+                repeatable=False,
+                code=answer.error_code,
+                message=answer.error_message,
+                **self._knowledge(),
+            )
             return webhandler.Response(
                 _status_of(answer.error_code),
                 {
@@ -370,6 +397,15 @@
         accepted = answer.outcome == wire_pb2.OUTCOME_ACCEPTED
         return webhandler.Response(_ACCEPTED if accepted else _OK, document)
 
+    def _knowledge(self) -> dict[str, Any]:
+        """Return what decides about requests, with its age."""
+        known = self._configuration
+        return {
+            'configuration_revision': known.revision if known else None,
+            'view_age_s': _finite(self.view_age_s()),
+            'aggregators': len(self.aggregators.connected),
+        }
+
     # Operators.
 
     def _ready(self) -> webhandler.Response:
--- /dev/null
+++ b/cardamomflow/events.py
@@ -0,0 +1,42 @@
+"""Names of the events that log lines tell; owns no state.
+
+docs/OPERATIONS.md lists the fields of each; a test compares it with this
+module.
+"""
+
+import enum
+
+
+class Event(enum.StrEnum):
+    """What a log line tells."""
+
+    # The life of a process.
+    STARTED = 'started'
+    STOPPING = 'stopping'
+    STOPPED = 'stopped'
+    METRICS_SERVED = 'metrics served'
+    SETTINGS_READ = 'settings read'
+    SETTINGS_REFUSED = 'settings refused'
+    RESUMED = 'resumed after a pause'
+    TASK_FAILED = 'background task failed'
+    LINES_LOST = 'log lines lost'
+
+    # What a process believes.
+    ROUTES_IN_FORCE = 'routes in force'
+    CONFIGURATION_IN_FORCE = 'configuration in force'
+    BACKEND_CHANGED = 'backend server changed'
+    HOSTS_COUNTED = 'hosts counted'
+    PROCESS_REGISTERED = 'process registered'
+    VIEW_OLD = 'view of the members too old'
+    PLATFORM_LOST = 'platform lost'
+    PLATFORM_REGAINED = 'platform regained'
+    ZONE_SILENT = 'zone silent'
+    ZONE_ANSWERS = 'zone answers'
+    CUT_OFF = 'cut off'
+    CONNECTED_AGAIN = 'connected again'
+
+    # Requests.
+    REQUEST_ENDED = 'request ended'
+    REQUEST_REFUSED = 'request refused'
+    REQUESTS_SUMMARISED = 'requests summarised'
+    DISPATCH_FAILED = 'dispatcher failed'
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -81,6 +81,7 @@
         'asked',
         'avoided',
         'open_attempts',
+        'attempts',
         'reply',
         'failure',
         'reason',
@@ -96,6 +97,8 @@
         # Backend servers that could not be reached.
         self.avoided: set[str] = set()
         self.open_attempts: list[Attempt] = []
+        # All attempts, in the order in which they started.
+        self.attempts: list[Attempt] = []
         self.reply: Reply | None = None
         # The last answer that is no success.
         self.failure: Reply | None = None
@@ -131,6 +134,8 @@
         'started_at',
         'connection',
         'sent',
+        'ended_at',
+        'outcome',
     )
 
     def __init__(
@@ -148,6 +153,9 @@
         self.connection: Any = None
         # Whether the request may have left this host.
         self.sent = False
+        self.ended_at: float | None = None
+        # Name of a `limits.CallOutcome`, empty while it is open.
+        self.outcome = ''
 
 
 class Work:
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -15,6 +15,7 @@
     directory,
     dispatching,
     errors,
+    events,
     following,
     gathering,
     limits,
@@ -74,7 +75,7 @@
             around, self.directory, self._dispatcher, self.transport
         )
         self.platform_heard_at = around.clock()
-        self._request_log = requestlog.RequestLog(around.journal, around.clock)
+        self.request_log = requestlog.RequestLog(around.journal, around.clock)
         self._measure()
         self._hosts = ASSUMED_HOSTS
         self._hosts_until = float('-inf')
@@ -118,6 +119,10 @@
         """
         now = self._clock()
         if hosts >= self._hosts or now >= self._hosts_until:
+            if hosts != self._hosts:
+                self._context.journal.info(
+                    events.Event.HOSTS_COUNTED, hosts=hosts, before=self._hosts
+                )
             self._hosts = hosts
             self._hosts_until = now + FEWER_HOSTS_S
             self._share_with(hosts)
@@ -154,7 +159,7 @@
 
     def refused(self, request_id: str, error: errors.FlowError) -> None:
         """Log a request that no service was chosen for."""
-        self._request_log.refused(request_id, error, **self._knowledge())
+        self.request_log.refused(request_id, error, **self._knowledge())
 
     def route(self, host: str, path: str) -> routes.Route:
         """Return the route of a request."""
@@ -195,7 +200,7 @@
     def _log_request(
         self, work: gathering.Work, ending: gathering.Ending
     ) -> None:
-        self._request_log.ended(
+        self.request_log.ended(
             work,
             ending,
             work.message.request_id.decode('latin-1'),
@@ -211,16 +216,6 @@
             'silent_zones': sorted(self._dispatcher.reachability.silent_zones),
         }
 
-    async def summarise(self) -> None:
-        """Log sums and lost lines at intervals until cancelled."""
-        while True:
-            await curio.sleep(requestlog.SUMMARY_INTERVAL_S)
-            self._request_log.summarise()
-            dropped = self._context.log_output.take_dropped()
-            if dropped:
-                self._metrics.increment('host.log_lost', dropped)
-                self._context.journal.warning('log lines lost', lines=dropped)
-
     def _come_back_s(self) -> float:
         """Return when a caller should ask again.
 
--- a/cardamomflow/metricspage.py
+++ b/cardamomflow/metricspage.py
@@ -9,6 +9,7 @@
     authorities,
     context,
     errors,
+    events,
     telemetry,
     webhandler,
     webserver,
@@ -37,15 +38,14 @@
         )
 
 
-def from_settings(
-    around: context.Context,
+def tasks(
+    around: context.Context, served_at: str | None
 ) -> tuple[Callable[[], Awaitable[Any]], ...]:
-    """Listen if the settings name an address; return what serves there."""
-    served_at = around.settings.get('metrics')
+    """Listen if there is an address; return what serves the figures there."""
     if served_at is None:
         return ()
     server = webserver.WebServer(
         *authorities.split(served_at), MetricsPage(around.metrics)
     )
-    around.journal.info('metrics served', port=server.port)
+    around.journal.info(events.Event.METRICS_SERVED, port=server.port)
     return (server.serve,)
--- a/cardamomflow/operations.py
+++ b/cardamomflow/operations.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from cardamomflow import claims, effects, errors, ledger, writes
+from cardamomflow import claims, effects, errors, events, ledger, writes
 from cardamomflow.generated import wire_pb2
 
 TICK_S = 0.02
@@ -366,7 +366,7 @@
         except Exception as defect:
             # A defect must not leave the claim without an outcome.
             self._context.journal.error(
-                'dispatcher failed', failure=repr(defect)
+                events.Event.DISPATCH_FAILED, failure=repr(defect)
             )
             error = errors.FlowError('the dispatch failed')
             return error.outcome, b'', error
--- a/cardamomflow/peers.py
+++ b/cardamomflow/peers.py
@@ -14,6 +14,7 @@
 from cardamomflow import (
     configuration,
     errors,
+    events,
     exchange,
     hostsigns,
     localserver,
@@ -100,7 +101,9 @@
         self._context.metrics.gauge(
             'agent.configuration_revision', document.revision
         )
-        self._context.journal.info('revision {} in force', document.revision)
+        self._context.journal.info(
+            events.Event.CONFIGURATION_IN_FORCE, revision=document.revision
+        )
 
     async def _sync(self, address: membership.Address) -> None:
         known = self.members.view(time.monotonic()).members_by_id
--- a/cardamomflow/reloading.py
+++ b/cardamomflow/reloading.py
@@ -14,7 +14,7 @@
 import logbook
 from curio import io as curio_io
 
-from cardamomflow import errors, settings
+from cardamomflow import errors, events, settings
 
 # A file may change without a signal; looking at it costs one system call.
 RECHECK_S = 2.0
@@ -76,11 +76,13 @@
         except errors.FlowError as error:
             # The process goes on with the settings that it has.
             self._journal.error(
-                'settings refused', code=error.code, error=error.message
+                events.Event.SETTINGS_REFUSED,
+                code=error.code,
+                error=error.message,
             )
             return
         self._journal.info(
-            'settings read',
+            events.Event.SETTINGS_READ,
             in_force=taken.in_force,
             need_restart=taken.need_restart,
         )
--- a/cardamomflow/requestcauses.py
+++ b/cardamomflow/requestcauses.py
@@ -1,13 +1,17 @@
-"""Cause of one request's end, told from log lines; pure functions."""
+"""Causes of requests' ends, told from log lines; pure functions."""
 
 import json
 from collections.abc import Iterable
 from typing import Any
 
-from cardamomflow import requestlog
+from cardamomflow import events, requestlog
 
 _INDENT = '  '
 SHOWN_SERVICES = 5
+SHOWN_ATTEMPTS = 2
+_REQUEST_EVENTS = frozenset(
+    (events.Event.REQUEST_ENDED, events.Event.REQUEST_REFUSED)
+)
 
 
 def parse(lines: Iterable[str]) -> list[dict[str, Any]]:
@@ -34,6 +38,7 @@
         document
         for document in documents
         if document.get('request_id') == request_id
+        and document.get('event') in _REQUEST_EVENTS
     ]
     if not found:
         return [f'cause: not known; {_why_unknown(documents)}']
@@ -44,76 +49,126 @@
     return told
 
 
-def _why_unknown(documents: list[dict[str, Any]]) -> str:
-    left_out = sum(
+def failed(lines: Iterable[str]) -> list[str]:
+    """Return the cause of each request that was not answered whole.
+
+    The last line tells how many there are, and how many lines were left out.
+    """
+    documents = parse(lines)
+    told = [
+        f'{document.get("request_id")} {document.get("route", "-")}'
+        f' {document.get("ending")}: {_cause(document)}'
+        for document in documents
+        if document.get('event') in _REQUEST_EVENTS
+        and document.get('ending') != requestlog.ANSWERED
+    ]
+    told.append(
+        f'{len(told)} requests; {_left_out(documents)} lines were left out'
+    )
+    return told
+
+
+def _left_out(documents: list[dict[str, Any]]) -> int:
+    return sum(
         sum(document.get('left_out', {}).values())
         for document in documents
-        if document.get('event') == requestlog.SUMMARY_EVENT
+        if document.get('event') == events.Event.REQUESTS_SUMMARISED
     )
+
+
+def _why_unknown(documents: list[dict[str, Any]]) -> str:
     return (
         f'none of {len(documents)} lines names this request. It was answered'
         ' whole and in time, another host got it, its host ended before the'
-        f' line, or it is one of {left_out} lines that were left out.'
+        f' line, or it is one of {_left_out(documents)} lines that were left'
+        ' out.'
     )
 
 
 def _tree(document: dict[str, Any]) -> list[str]:
-    if document.get('event') == requestlog.REFUSED_EVENT:
-        return [
-            f'{document.get("time")} {document.get("process")}: refused'
-            f' before any service was chosen'
-        ]
+    head = f'{document.get("time")} {document.get("process")}:'
+    if document.get('event') == events.Event.REQUEST_REFUSED:
+        return [f'{head} refused before any service was chosen']
     lines = [
-        f'{document.get("time")} {document.get("process")}: '
-        f'{document.get("ending")} after {document.get("took_ms")} ms,'
+        f'{head} {document.get("ending")} after {document.get("took_ms")} ms,'
         f' target {document.get("target_ms")} ms,'
         f' {document.get("parts")} of {document.get("asked")} parts,'
         f' {document.get("needed")} needed; routes'
         f' {document.get("routes_revision")}, platform heard'
         f' {document.get("platform_age_ms")} ms ago'
     ]
-    for part in document.get('open', []):
-        asked = ', '.join(part['asked']) or 'nobody'
-        lines.append(
-            f'{_INDENT}{part["service"]}: {part["reason"]}; asked {asked}'
-        )
+    for service in document.get('services', []):
+        lines.append(f'{_INDENT}{service["service"]}: {service["result"]}')
         lines.extend(
-            f'{_INDENT * 2}{attempt["backend_id"]}: no answer for'
-            f' {attempt["for_ms"]} ms'
-            for attempt in part['open']
-        )
-        lines.extend(
-            f'{_INDENT * 2}{backend_id}: accepted no connection'
-            for backend_id in part['unreachable']
+            f'{_INDENT * 2}+{attempt["at_ms"]} ms {_attempt(attempt)}'
+            f' ({attempt["zone"]})'
+            for attempt in service['attempts']
         )
+    left_out = document.get('services_left_out')
+    if left_out:
+        lines.append(f'{_INDENT}{left_out} services that took less')
     return lines
 
 
-def _join(names: list[str]) -> str:
-    """Return the first names, and how many more there are."""
-    shown = ', '.join(names[:SHOWN_SERVICES])
-    more = len(names) - SHOWN_SERVICES
-    return f'{shown} and {more} more' if more > 0 else shown
+def _attempt(attempt: dict[str, Any]) -> str:
+    took = f'{attempt["took_ms"]} ms'
+    match attempt['outcome']:
+        case 'open':
+            state = 'no answer' if attempt['sent'] else 'no connection'
+            return f'{attempt["backend_id"]}: {state} for {took}'
+        case 'refused_connection':
+            return f'{attempt["backend_id"]}: accepted no connection'
+        case outcome:
+            return f'{attempt["backend_id"]}: {outcome} after {took}'
+
+
+def _missing(document: dict[str, Any]) -> str:
+    """Return the services without part, and what was tried there."""
+    shards = document.get('missing', [])
+    if shards:
+        shown = shards[:SHOWN_SERVICES]
+        return '; '.join(
+            f'{shard["service"]}/{shard["shard"]} {shard["reason"]}'
+            for shard in shown
+        )
+    services = [
+        service
+        for service in document.get('services', [])
+        if service['result'] != requestlog.ANSWERED
+    ]
+    total = document.get('asked', 0) - document.get('parts', 0)
+    shown = '; '.join(map(_service, services[:SHOWN_SERVICES]))
+    more = total - len(services[:SHOWN_SERVICES])
+    return f'{shown}; {more} more' if more > 0 else shown
+
+
+def _service(service: dict[str, Any]) -> str:
+    attempts = service['attempts'][:SHOWN_ATTEMPTS]
+    tried = ', '.join(map(_attempt, attempts)) or 'nobody was asked'
+    return f'{service["service"]} {service["result"]} ({tried})'
 
 
 def _cause(document: dict[str, Any]) -> str:
     """Return the cause in one line."""
-    parts = document.get('open', [])
+    if 'code' in document:
+        return f'{document["code"]}: {document.get("message")}'
     silent = document.get('silent_zones')
     where = f'; zones without answers: {", ".join(silent)}' if silent else ''
-    reasons = ', '.join(sorted({part['reason'] for part in parts}))
-    services = _join([part['service'] for part in parts])
+    missing = _missing(document)
     causes_by_ending = {
-        'partial': (
-            f'{services} did not answer within the target ({reasons}){where}'
-        ),
-        'not_run': f'nothing was sent: {reasons} at {services}{where}',
-        'failed': f'{reasons} at {services}, and no attempt was left{where}',
-        'late': f'the deadline passed: {reasons} at {services}{where}',
-        'answered_late': 'the answer was whole, later than its target',
-        'refused': f'{document.get("code")}: {document.get("message")}',
+        'partial': f'no part within the target: {missing}{where}',
+        'not_run': f'nothing was sent that can run: {missing}{where}',
+        'failed': f'no attempt was left: {missing}{where}',
+        'late': f'the deadline passed: {missing}{where}',
+        'answered_late': 'the answer was whole, later than its target'
+        f'{_slowest(document)}',
     }
     return causes_by_ending.get(
         document.get('ending', ''),
         'none; the request was answered whole and in time',
     )
+
+
+def _slowest(document: dict[str, Any]) -> str:
+    services = document.get('services', [])
+    return f': {_service(services[0])}' if services else ''
--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -10,15 +10,15 @@
 
 import logbook
 
-from cardamomflow import errors, gathering, tokens
+from cardamomflow import errors, events, gathering, tokens
 
-EVENT = 'request ended'
-REFUSED_EVENT = 'request refused'
-SUMMARY_EVENT = 'requests summarised'
 # A line costs about 50 us and 500 bytes; a host answers about 20 requests/s.
 LINES_PER_S = 20.0
 BURST_LINES = 100.0
 SUMMARY_INTERVAL_S = 10.0
+# Services in one line; a query may ask hundreds, at about 150 bytes each.
+DESCRIBED_SERVICES = 12
+ANSWERED = 'answered'
 _MS = 1000
 
 
@@ -55,14 +55,13 @@
         """
         now = self._clock()
         name = _name_of(work, ending, now)
-        self._counts[name] += 1
-        if name == 'answered' and work.route.repeatable:
+        if name == ANSWERED and work.route.repeatable:
+            self._counts[name] += 1
             return
-        if work.route.repeatable and not self._take_token(now):
-            self._left_out[name] += 1
+        if not self._may_log(name, repeatable=work.route.repeatable):
             return
         self._journal.info(
-            EVENT,
+            events.Event.REQUEST_ENDED,
             request_id=request_id,
             route=work.route.name,
             rank=work.route.rank.label,
@@ -74,38 +73,71 @@
             parts=work.answered,
             needed=work.needed,
             asked=len(work.legs),
-            open=[_describe(leg, now) for leg in work.legs if not leg.reply],
+            **_describe_legs(work, now),
             **knowledge,
         )
 
     def refused(
-        self, request_id: str, error: errors.FlowError, **knowledge: Any
+        self,
+        request_id: str,
+        error: errors.FlowError,
+        *,
+        repeatable: bool = True,
+        **knowledge: Any,
     ) -> None:
-        """Log a request that was refused before any service was chosen."""
-        self._counts[error.code] += 1
-        if not self._take_token(self._clock()):
-            self._left_out[error.code] += 1
-            return
-        self._journal.info(
-            REFUSED_EVENT,
-            request_id=request_id,
-            ending='refused',
-            code=error.code,
-            message=error.message,
-            **knowledge,
-        )
+        """Log a request that ended with an error code."""
+        if self._may_log(error.code, repeatable=repeatable):
+            self._journal.info(
+                events.Event.REQUEST_REFUSED,
+                request_id=request_id,
+                ending='refused',
+                code=error.code,
+                message=error.message,
+                **knowledge,
+            )
+
+    def told(
+        self, request_id: str, ending: str, *, repeatable: bool, **fields: Any
+    ) -> None:
+        """Log what a caller was told by a process that sends nothing itself.
+
+        Parameters
+        ----------
+        request_id : str
+        ending : str
+            One of few names; the sums are kept by it.
+        repeatable : bool
+        **fields
+            What decided, with its age.
+        """
+        if self._may_log(ending, repeatable=repeatable):
+            self._journal.info(
+                events.Event.REQUEST_ENDED,
+                request_id=request_id,
+                ending=ending,
+                repeatable=repeatable,
+                **fields,
+            )
 
     def summarise(self) -> None:
         """Log how many requests ended how, and the lines left out."""
         if self._counts:
             self._journal.info(
-                SUMMARY_EVENT,
+                events.Event.REQUESTS_SUMMARISED,
                 ended=dict(self._counts),
                 left_out=dict(self._left_out),
             )
         self._counts.clear()
         self._left_out.clear()
 
+    def _may_log(self, name: str, *, repeatable: bool) -> bool:
+        """Count a request; tell whether it gets a line."""
+        self._counts[name] += 1
+        if not repeatable or self._take_token(self._clock()):
+            return True
+        self._left_out[name] += 1
+        return False
+
     def _take_token(self, now: float) -> bool:
         self._lines.earn((now - self._filled_at) * LINES_PER_S)
         self._filled_at = now
@@ -119,27 +151,62 @@
         return 'partial'
     if now - work.started_at > work.route.target_s:
         return 'answered_late'
-    return 'answered'
+    return ANSWERED
+
+
+def _describe_legs(work: gathering.Work, now: float) -> dict[str, Any]:
+    """Return the services that say most: without part, then the slowest."""
+    legs = sorted(work.legs, key=lambda leg: _weight(leg, now), reverse=True)
+    shown = legs[:DESCRIBED_SERVICES]
+    return {
+        'services': [_describe(leg, now) for leg in shown],
+        'services_left_out': len(legs) - len(shown),
+    }
+
+
+def _weight(leg: gathering.Leg, now: float) -> tuple[bool, float]:
+    """Return what orders services: no part first, then the time."""
+    return leg.reply is None, _last_s(leg, now)
+
+
+def _last_s(leg: gathering.Leg, now: float) -> float:
+    """Return the time from the request to the last end of an attempt."""
+    ends = [_end_of(attempt, now) for attempt in leg.attempts]
+    return max(ends, default=now) - leg.work.started_at
+
+
+def _end_of(attempt: gathering.Attempt, now: float) -> float:
+    """Return when an attempt ended; one that is open ends now."""
+    if attempt.ended_at is None:
+        return now
+    return attempt.ended_at
 
 
 def _describe(leg: gathering.Leg, now: float) -> dict[str, Any]:
-    """Return why a service gave no part."""
-    waiting = 'waits' if leg.waiting else 'no_answer'
+    """Return what a service gave, and each attempt at it."""
     return {
         'service': leg.service,
-        'reason': leg.reason or waiting,
-        'asked': list(leg.asked),
-        'unreachable': sorted(leg.avoided),
-        'open': [
+        'result': _result_of(leg),
+        'attempts': [
             {
                 'backend_id': attempt.backend_id,
-                'for_ms': _ms(now - attempt.started_at),
+                'zone': attempt.availability_zone,
+                'at_ms': _ms(attempt.started_at - leg.work.started_at),
+                'took_ms': _ms(_end_of(attempt, now) - attempt.started_at),
                 'sent': attempt.sent,
+                'outcome': attempt.outcome or 'open',
             }
-            for attempt in leg.open_attempts
+            for attempt in leg.attempts
         ],
     }
 
 
+def _result_of(leg: gathering.Leg) -> str:
+    if leg.reply is not None:
+        return ANSWERED
+    waiting = 'waits' if leg.waiting else 'no_answer'
+    return leg.reason or waiting
+
+
 def _ms(span_s: float) -> float:
     return round(span_s * _MS, 1)
--- a/cardamomflow/shutdown.py
+++ b/cardamomflow/shutdown.py
@@ -11,6 +11,8 @@
 import logbook
 from curio import io as curio_io
 
+from cardamomflow import events
+
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -71,7 +73,7 @@
             # A daemon without one of its tasks would serve half of its
             # duties unnoticed; the host's supervisor restarts it.
             self._journal.error(
-                'background task failed',
+                events.Event.TASK_FAILED,
                 task=getattr(function, '__qualname__', str(function)),
                 error=repr(error),
                 trace=traceback.format_exc(),
--- a/cardamomflow/zonewatch.py
+++ b/cardamomflow/zonewatch.py
@@ -12,6 +12,7 @@
     context,
     directory,
     dispatching,
+    events,
     routes,
 )
 from cardamomflow.platform import backendlink
@@ -72,9 +73,9 @@
                 backend, ZONE_CHECK_S
             )
         if answers and self._reachability.heard(zone):
-            self._journal.info('zone answers', zone=zone)
+            self._journal.info(events.Event.ZONE_ANSWERS, zone=zone)
         elif not answers and self._reachability.lost(zone, self._clock()):
-            self._journal.warning('zone silent', zone=zone)
+            self._journal.warning(events.Event.ZONE_SILENT, zone=zone)
 
     def _judge_isolation(self) -> None:
         """Leave the callers to other zones while requests can't be served."""
@@ -82,7 +83,7 @@
         if self.is_cut_off != before:
             self.turn_away(self.is_cut_off)
             self._journal.warning(
-                'cut off' if self.is_cut_off else 'connected again',
+                events.Event.CUT_OFF if self.is_cut_off else 'connected again',
                 silent_zones=sorted(self._reachability.silent_zones),
             )
 
