Count hosts by the watch, and spread their first entries

Hosts are counted from the watch that each keeps anyway. A jitter of the first read was ruled out: a started host has to know its routes at once. The stand-in has pages; stale reads are used no more.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -185,7 +185,7 @@
             functools.partial(_summarise, around, program.request_log),
             follower.follow,
             follower.expire_backends,
-            functools.partial(follower.announce, settings['host']['id']),
+            follower.announce,
             *metricspage.tasks(around, around.settings.get('metrics')),
         ),
         follower,
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -9,14 +9,15 @@
 
 import curio
 
-from cardamomflow import context, directory, errors, routes, sources
+from cardamomflow import context, directory, errors, events, routes, sources
 
 # A connection may fall silent for good, also in an outage. A change has to be
 # in force 4 s after that at the latest, so a silent watch ends within 3 s, with
 # a second for its answer. A watch of 5 s broke the bound in an outage of 2 s.
 WATCH_WAIT_S = 2.0
-# Backend servers come and go in groups; each answer of a watch is a call that
-# is paid for, and a leaving one takes work for 3 s.
+# Backend servers and hosts come and go in groups; each answer of a watch is a
+# call that is paid for, and a leaving backend server takes work for 3 s.
+# Without the pause each host that starts is a call of every other one.
 GATHER_CHANGES_S = 0.3
 PROBE_WAIT_S = 0.05
 # Waits between calls that fail: enough for a store that answers in
@@ -71,6 +72,8 @@
         self._revisions_by_id: dict[str, int] = {}
         self._lost: set[str] = set()
         self._leaving = curio.Event()
+        self._own_id = around.settings['host']['id']
+        self._host_ids: set[str] = set()
 
     async def follow(self) -> None:
         """Keep routes and backend servers up to date until cancelled."""
@@ -99,12 +102,18 @@
             await curio.sleep(EXPIRY_INTERVAL_S)
             await self._tell(self._directory.expire(self._clock()))
 
-    async def announce(self, host_id: str) -> None:
-        """List this host and count the others until `leave` is called."""
+    async def announce(self) -> None:
+        """List this host and renew its entry until `leave` is called."""
+        # A whole fleet that starts at once would write at once.
+        await self._wait(self._random.uniform(0, ANNOUNCE_INTERVAL_S))
         while not self._leaving.is_set():
-            await self._announce_once(host_id)
-            async with curio.ignore_after(ANNOUNCE_INTERVAL_S):
-                await self._leaving.wait()
+            try:
+                await self._source.announce_host(self._own_id, HOST_TTL_S)
+            except errors.FlowError as error:
+                self._note_lost('hosts', error)
+            else:
+                self._note_regained('hosts')
+            await self._wait(ANNOUNCE_INTERVAL_S)
         try:
             await self._source.withdraw_host()
         except errors.FlowError as error:
@@ -115,20 +124,16 @@
         """Let `announce` end the entry of this host."""
         await self._leaving.set()
 
-    async def _announce_once(self, host_id: str) -> None:
-        try:
-            await self._source.announce_host(host_id, HOST_TTL_S)
-            hosts = await self._source.count_hosts()
-        except errors.FlowError as error:
-            self._note_lost('hosts', error)
-        else:
-            self._note_regained('hosts')
-            await self._listener.hosts_counted(hosts)
+    async def _wait(self, span_s: float) -> None:
+        """Wait, at most until this host leaves."""
+        async with curio.ignore_after(span_s):
+            await self._leaving.wait()
 
     async def _take_next(self, revision: int | None) -> int:
         if revision is None:
             news = await self._source.read()
             await self._take_list(news.entries)
+            self._host_ids.clear()
         else:
             # A store that failed has to show soon whether it is back.
             wait_s = PROBE_WAIT_S if 'store' in self._lost else WATCH_WAIT_S
@@ -136,16 +141,28 @@
         await self._take_routes(news.table)
         changes = [self._take_entry(entry) for entry in news.entries]
         await self._tell([change for change in changes if change is not None])
-        if news.entries and news.table is None:
+        await self._take_hosts(news.hosts)
+        if news.revision != revision and news.table is None:
             await curio.sleep(GATHER_CHANGES_S)
         return news.revision
 
+    async def _take_hosts(self, hosts: list[sources.ListedHost]) -> None:
+        """Count the hosts, this one among them."""
+        for host in hosts:
+            if host.present:
+                self._host_ids.add(host.host_id)
+            else:
+                self._host_ids.discard(host.host_id)
+        await self._listener.hosts_counted(len(self._host_ids | {self._own_id}))
+
     async def _take_routes(self, table: routes.RouteTable | None) -> None:
         if table is None or table.revision <= self._routes_revision:
             return
         self._routes_revision = table.revision
         self._journal.info(
-            'routes in force', revision=table.revision, routes=len(table)
+            events.Event.ROUTES_IN_FORCE,
+            revision=table.revision,
+            routes=len(table),
         )
         await self._listener.routes_changed(table)
 
@@ -170,7 +187,7 @@
             return
         for change in changes:
             self._journal.info(
-                'backend server changed',
+                events.Event.BACKEND_CHANGED,
                 backend_id=change.backend_id,
                 service=change.service,
                 usable=change.usable,
@@ -181,10 +198,10 @@
         if name not in self._lost:
             self._lost.add(name)
             self._journal.warning(
-                'platform lost', watching=name, error=error.message
+                events.Event.PLATFORM_LOST, watching=name, error=error.message
             )
 
     def _note_regained(self, name: str) -> None:
         if name in self._lost:
             self._lost.discard(name)
-            self._journal.info('platform regained', watching=name)
+            self._journal.info(events.Event.PLATFORM_REGAINED, watching=name)
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -30,19 +30,19 @@
         self._own_key = ''
 
     async def read(self) -> sources.News:
-        """Return the routes in force and all entries of backend servers."""
-        prefix = wire.BACKENDS_PREFIX
-        document = (await self._get('kv-range', prefix=prefix)).json()
-        # Later pages and the routes may be newer; what changed meanwhile is
-        # watched from the revision of the first page.
-        revision = _number(document, 'as_of')
-        entries = _entries(_rows(document, 'items'))
-        while document.get('has_more') and _rows(document, 'items'):
-            last = _rows(document, 'items')[-1]['key']
-            reply = await self._get('kv-range', prefix=prefix, after=last)
-            document = reply.json()
-            entries.extend(_entries(_rows(document, 'items')))
-        return sources.News(await self._read_routes(), entries, revision)
+        """Return the routes in force and all entries."""
+        # Later pages, hosts and routes may be newer; what changed meanwhile
+        # is watched from the revision of the first page.
+        rows, revision = await self._list(wire.BACKENDS_PREFIX)
+        host_rows, _ = await self._list(wire.HOSTS_PREFIX)
+        if all(row.get('key') != self._own_key for row in host_rows):
+            self._lease = _NO_LEASE
+        return sources.News(
+            await self._read_routes(),
+            _entries(rows),
+            _hosts(host_rows),
+            revision,
+        )
 
     async def watch(self, revision: int, wait_s: float) -> sources.News:
         """Wait for changes, of any key: one watch costs half of two."""
@@ -56,8 +56,19 @@
             )
         document = reply.json()
         events = _rows(document, 'events')
+        hosts = _hosts(events)
+        if any(
+            self._own_key == f'{wire.HOSTS_PREFIX}{host.host_id}'
+            and not host.present
+            for host in hosts
+        ):
+            # The platform may take an entry away while its lease goes on.
+            self._lease = _NO_LEASE
         return sources.News(
-            _routes_of(events), _entries(events), _number(document, 'as_of')
+            _routes_of(events),
+            _entries(events),
+            hosts,
+            _number(document, 'as_of'),
         )
 
     async def announce_host(self, host_id: str, ttl_s: float) -> None:
@@ -92,17 +103,6 @@
         if lease != _NO_LEASE:
             await self._channel.change('DELETE', f'/api/kv-lease-end/{lease}')
 
-    async def count_hosts(self) -> int:
-        """Return the number of listed hosts; may be seconds old."""
-        reply = await self._get(
-            'kv-range', prefix=wire.HOSTS_PREFIX, allow_stale=1
-        )
-        keys = {row.get('key') for row in _rows(reply.json(), 'items')}
-        if self._own_key not in keys:
-            # The platform may take an entry away while its lease goes on.
-            self._lease = _NO_LEASE
-        return len(keys | {self._own_key})
-
     async def close(self) -> None:
         """Close all idle connections."""
         await self._channel.close()
@@ -116,6 +116,20 @@
         self._lease = _NO_LEASE
         return False
 
+    async def _list(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
+        """Return all items under a prefix and the first page's revision."""
+        document = (await self._get('kv-range', prefix=prefix)).json()
+        revision = _number(document, 'as_of')
+        page = _rows(document, 'items')
+        rows = list(page)
+        while document.get('has_more') and page:
+            last = page[-1]['key']
+            reply = await self._get('kv-range', prefix=prefix, after=last)
+            document = reply.json()
+            page = _rows(document, 'items')
+            rows.extend(page)
+        return rows, revision
+
     async def _read_routes(self) -> routes.RouteTable | None:
         reply = await self._get('kv-key', key=wire.CONFIGURATION_KEY)
         if reply.status == http.HTTPStatus.NOT_FOUND:
@@ -148,6 +162,17 @@
     ]
 
 
+def _hosts(rows: list[dict[str, Any]]) -> list[sources.ListedHost]:
+    prefix = wire.HOSTS_PREFIX
+    return [
+        sources.ListedHost(
+            row['key'].removeprefix(prefix), not row.get('removed')
+        )
+        for row in rows
+        if str(row.get('key', '')).startswith(prefix)
+    ]
+
+
 def _entry(row: dict[str, Any]) -> sources.Listed:
     backend_id = row['key'].removeprefix(wire.BACKENDS_PREFIX)
     backend = None
--- a/cardamomflow/sources.py
+++ b/cardamomflow/sources.py
@@ -26,6 +26,20 @@
     backend: register.Backend | None
 
 
+class ListedHost(NamedTuple):
+    """The state of one entry of the list of hosts.
+
+    Attributes
+    ----------
+    host_id : str
+    present : bool
+        False when the entry is gone.
+    """
+
+    host_id: str
+    present: bool
+
+
 class News(NamedTuple):
     """What the platform holds, or what has changed there.
 
@@ -34,12 +48,15 @@
     table : routes.RouteTable or None
         The newest routes, None when they are unknown or unchanged.
     entries : list of Listed
+        Backend servers.
+    hosts : list of ListedHost
     revision : int
         From which to watch.
     """
 
     table: routes.RouteTable | None
     entries: list[Listed]
+    hosts: list[ListedHost]
     revision: int
 
 
@@ -51,7 +68,7 @@
 
     @abc.abstractmethod
     async def read(self) -> News:
-        """Return the routes in force and all entries of backend servers."""
+        """Return the routes in force and all entries."""
 
     @abc.abstractmethod
     async def watch(self, revision: int, wait_s: float) -> News:
@@ -70,7 +87,3 @@
     @abc.abstractmethod
     async def withdraw_host(self) -> None:
         """End the entry of this host, if it has one."""
-
-    @abc.abstractmethod
-    async def count_hosts(self) -> int:
-        """Return the number of listed hosts; may be seconds old."""
--- a/standins/users.py
+++ b/standins/users.py
@@ -1,7 +1,7 @@
 """Stand-in of the users' platform: its store and a backend server.
 
 Speaks the published protocol as far as a host needs it. The store can be
-down, silent, slow, stale, over its rate, lose answers after their effect,
+down, silent, slow, over its rate, lose answers after their effect,
 lose its history and take a host's entry away; a backend server can pause,
 break off, refuse and answer for another request.
 """
@@ -19,6 +19,8 @@
 
 _LONGEST_POLL_S = 0.02
 _SILENCE_S = 60
+# Smaller than the platform's, so that tests have several pages.
+_PAGE_ITEMS = 20
 _OPERATORS_PREFIXES = ('op/', 'servers/')
 
 
@@ -45,7 +47,6 @@
         self.items_by_key: dict[str, Item] = {}
         self.leases: set[int] = set()
         self._granted = 0
-        self._old_items_by_key: dict[str, Item] | None = None
         self._events: list[dict[str, Any]] = []
         self._oldest = 1
 
@@ -77,10 +78,6 @@
         for key in ended:
             self.remove(key)
 
-    def keep_stale(self) -> None:
-        """Answer reads that may be stale with the entries of now."""
-        self._old_items_by_key = dict(self.items_by_key)
-
     def forget_history(self) -> None:
         """Drop all events, so that watches have to list again."""
         self._events.clear()
@@ -97,7 +94,7 @@
         await curio.sleep(_SILENCE_S if self.is_silent else self.delay_s)
         if self.is_down:
             raise errors.PlatformUnavailable('the store is down')
-        if self.is_over_rate and 'allow_stale' not in query:
+        if self.is_over_rate:
             return webhandler.Response(429, {'error': 'over the rate'})
         if kind == 'kv-watch':
             return await self._watch(query)
@@ -137,15 +134,16 @@
         return self._answer(self._render(key))
 
     def _list(self, query: dict[str, str]) -> webhandler.Response:
-        items_by_key = self.items_by_key
-        if 'allow_stale' in query and self._old_items_by_key is not None:
-            items_by_key = self._old_items_by_key
-        rows = [
-            _render(key, items_by_key[key])
-            for key in sorted(items_by_key)
-            if key.startswith(query['prefix'])
-        ]
-        return self._answer({'items': rows, 'has_more': False})
+        prefix = query['prefix']
+        after = query.get('after', '')
+        keys = sorted(
+            key
+            for key in self.items_by_key
+            if key.startswith(prefix) and key > after
+        )
+        page = keys[:_PAGE_ITEMS]
+        rows = [self._render(key) for key in page]
+        return self._answer({'items': rows, 'has_more': len(page) < len(keys)})
 
     async def _watch(self, query: dict[str, str]) -> webhandler.Response:
         after = int(query['after'])
@@ -188,22 +186,19 @@
         return self._answer({'revision': self.revision})
 
     def _render(self, key: str) -> dict[str, Any]:
-        return _render(key, self.items_by_key[key])
+        item = self.items_by_key[key]
+        return {
+            'key': key,
+            'value': base64.b64encode(item.value).decode(),
+            'revision': item.revision,
+            'created': item.revision,
+            'lease': item.lease,
+        }
 
     def _answer(self, document: dict[str, Any]) -> webhandler.Response:
         return webhandler.Response(200, {**document, 'as_of': self.revision})
 
 
-def _render(key: str, item: Item) -> dict[str, Any]:
-    return {
-        'key': key,
-        'value': base64.b64encode(item.value).decode(),
-        'revision': item.revision,
-        'created': item.revision,
-        'lease': item.lease,
-    }
-
-
 class BackendServer(webhandler.RequestHandler):
     """A backend server of one service."""
 
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -70,6 +70,7 @@
             context.create(settings), self._store_client
         )
         self.host = parts.program
+        self.follower = parts.follower
         self.front_port = await self._serve(parts.callers)
         self.ready_port = await self._serve(parts.readiness)
         for loop in parts.tasks:
--- a/tests/test_store_troubles.py
+++ b/tests/test_store_troubles.py
@@ -93,7 +93,7 @@
 
         self.assertEqual(hostworld.play(scenario), [OWN_KEY])
 
-    def test_stale_list_without_this_host_counts_it(self):
+    def test_entry_taken_away_is_listed_again(self):
         """Guards against shares of limits that leave this host out."""
         counted = []
 
@@ -105,16 +105,47 @@
                 await take(hosts)
 
             world.host.hosts_counted = count
-            await loops.until(functools.partial(is_listed, world))
+            await loops.until(lambda: is_listed(world))
             world.store.put(f'{wire.HOSTS_PREFIX}other', '')
-            world.store.remove(OWN_KEY)
-            world.store.keep_stale()
+            await loops.until(lambda: 2 in counted)
             counted.clear()
-            await loops.until(lambda: is_listed(world) and len(counted) > 3)
+            world.store.remove(OWN_KEY)
+            await loops.until(lambda: is_listed(world) and counted)
 
         hostworld.play(scenario)
         self.assertEqual(set(counted), {2})
 
+    def test_host_is_counted_after_a_lost_history(self):
+        """Guards against shares that hosts which left keep for ever."""
+
+        async def scenario(world):
+            other = f'{wire.HOSTS_PREFIX}other'
+            world.store.put(other, '')
+            await loops.until(lambda: len(world.follower._host_ids) == 2)
+            world.store.remove(other)
+            world.store.put(f'{wire.HOSTS_PREFIX}third', '')
+            world.store.forget_history()
+            await loops.until(
+                lambda: world.follower._host_ids == {'host-1', 'third'}
+            )
+            return True
+
+        self.assertTrue(hostworld.play(scenario))
+
+    def test_fleet_that_starts_costs_few_calls(self):
+        """Guards against a call of each host for each other one."""
+
+        async def scenario(world):
+            calls = world.store.calls_by_kind
+            before = calls['kv-watch']
+            for number in range(40):
+                world.store.put(f'{wire.HOSTS_PREFIX}other-{number}', '')
+                await curio.sleep(0.01)
+            await loops.until(lambda: len(world.follower._host_ids) > 40)
+            return calls['kv-watch'] - before
+
+        self.assertLess(hostworld.play(scenario), 6)
+
     def test_lapsed_entries_are_kept_until_they_are_back(self):
         """Guards against refusals while entries that lapsed return."""
 
