--- a/cardamomflow/commands.py
+++ b/cardamomflow/commands.py
@@ -11,7 +11,7 @@
 import secrets
 import sys
 import urllib.parse
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
 from typing import Any
 
 import click
@@ -291,6 +291,7 @@
     'explain --service lots --work lot-history --settings operator.yaml',
     options.EXPLAINED_ID,
     options.LOGS,
+    options.FAILED,
     options.TARGET,
     options.WORK,
     options.RANK,
@@ -301,22 +302,38 @@
 def explain(
     request_id: str | None,
     logs: tuple[Any, ...],
+    all_failed: bool,
     target: str | None,
     **kind: Any,
 ) -> None:
     """Explain how one request ended, or how a kind of request is treated.
 
     With a request id, reads the log lines of host processes from files or
-    standard input, and tells the cause in the last line. With --service,
+    standard input, and tells the cause in the last line. With --failed, tells
+    the causes of all failed requests instead. With --service,
     reads the published configuration, or local files when both are given.
     """
+    if all_failed:
+        # Without an id, the first word is the first log.
+        paths = [request_id] if request_id else []
+        _echo(requestcauses.failed(_lines(paths, logs)))
+        return
     if request_id is None and target is None:
         raise click.UsageError('give a request id, or --service')
     if request_id is None:
         _explain_kind(target, **kind)
         return
-    lines = itertools.chain.from_iterable(logs or (sys.stdin,))
-    for line in requestcauses.explain(request_id, lines):
+    _echo(requestcauses.explain(request_id, _lines([], logs)))
+
+
+def _lines(paths: list[str], logs: tuple[Any, ...]) -> Iterator[str]:
+    """Return the lines of logs; those of standard input without any."""
+    opened = [click.open_file(path) for path in paths]
+    return itertools.chain.from_iterable((*opened, *logs) or (sys.stdin,))
+
+
+def _echo(lines: Iterable[str]) -> None:
+    for line in lines:
         click.echo(line)
 
 
--- a/cardamomflow/options.py
+++ b/cardamomflow/options.py
@@ -90,4 +90,9 @@
 )
 REQUEST_ID = click.Argument(['request_id'])
 EXPLAINED_ID = click.Argument(['request_id'], required=False)
+FAILED = click.Option(
+    ['--failed', 'all_failed'],
+    is_flag=True,
+    help='Tell the cause of every request that was not answered whole.',
+)
 LOGS = click.Argument(['logs'], type=click.File(), nargs=-1, metavar='[LOG]...')
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,38 @@
+"""Names of log events."""
+
+import pathlib
+import re
+import unittest
+
+from cardamomflow import events
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_PROSE = re.compile(
+    r'journal\.(?:debug|info|warning|error)\(\s*f?[\'"]', re.MULTILINE
+)
+
+
+class EventTest(unittest.TestCase):
+    def test_no_line_is_prose(self):
+        """Guards against events that a reader can not select by name."""
+        prose = [
+            path.name
+            for path in (ROOT / 'cardamomflow').rglob('*.py')
+            if _PROSE.search(path.read_text())
+        ]
+        self.assertEqual(prose, [])
+
+    def test_every_event_is_documented_and_used(self):
+        """Guards against a page of lines that lags behind the code."""
+        page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+        code = ''.join(
+            path.read_text() for path in (ROOT / 'cardamomflow').rglob('*.py')
+        )
+        for event in events.Event:
+            with self.subTest(event.name):
+                self.assertIn(f'`{event}`', page)
+                self.assertIn(f'events.Event.{event.name}', code)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_requestlog.py
+++ b/tests/test_requestlog.py
@@ -270,6 +270,17 @@
         self.assertEqual(finished.exit_code, 0, finished.output)
         self.assertIn('cause: no part', finished.output)
 
+    def test_command_lists_failed_requests(self):
+        """Guards against a list that needs an id to begin with."""
+        finished = testing.CliRunner().invoke(
+            commands.operator,
+            ['explain', '--failed'],
+            input=json.dumps(self.document()),
+        )
+        self.assertEqual(finished.exit_code, 0, finished.output)
+        self.assertIn('r1 - partial: no part', finished.output)
+        self.assertIn('1 requests; 0 lines', finished.output)
+
 
 class StuckReaderTest(unittest.TestCase):
     def test_reader_that_stops_costs_lines_and_no_time(self):
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,4 +1,4 @@
-"""Generate `cardamomflow/generated` from `schema/`.
+"""Generate `cardamomflow/generated` and pages of the docs.
 
 With `--check`, fail when the committed files differ from a fresh run.
 """
@@ -11,6 +11,8 @@
 import sys
 import tempfile
 
+from tools import reference
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / 'schema'
 TARGET = ROOT / 'cardamomflow' / 'generated'
@@ -89,6 +91,8 @@
     parser.add_argument('--check', action='store_true')
     if not parser.parse_args().check:
         generate(TARGET)
+        for name, page in reference.pages().items():
+            (reference.DOCS / name).write_text(page)
         return 0
     with tempfile.TemporaryDirectory() as folder:
         fresh = pathlib.Path(folder)
@@ -99,7 +103,16 @@
             f'cardamomflow/generated/{name} is out of date:'
             ' run `make generate` and commit\n'
         )
-    return int(bool(differing))
+    outdated = [
+        name
+        for name, page in reference.pages().items()
+        if (reference.DOCS / name).read_text() != page
+    ]
+    for name in outdated:
+        sys.stderr.write(
+            f'docs/{name} is out of date: run `make generate` and commit\n'
+        )
+    return int(bool(differing or outdated))
 
 
 if __name__ == '__main__':
