Name the last event that was prose

A line that is written after a choice of two events escaped the test: one of the two was still a literal. Each event now has to be used by its name.

--- a/cardamomflow/zonewatch.py
+++ b/cardamomflow/zonewatch.py
@@ -82,8 +82,11 @@
         before, self.is_cut_off = self.is_cut_off, self._is_isolated()
         if self.is_cut_off != before:
             self.turn_away(self.is_cut_off)
+            event = events.Event.CONNECTED_AGAIN
+            if self.is_cut_off:
+                event = events.Event.CUT_OFF
             self._journal.warning(
-                events.Event.CUT_OFF if self.is_cut_off else 'connected again',
+                event,
                 silent_zones=sorted(self._reachability.silent_zones),
             )
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -30,8 +30,8 @@
         )
         for event in events.Event:
             with self.subTest(event.name):
-                self.assertIn(f'`{event}`', page)
-                self.assertIn(f'events.Event.{event.name}', code)
+                self.assertTrue(f'`{event}`' in page)
+                self.assertTrue(f'events.Event.{event.name}' in code)
 
 
 if __name__ == '__main__':
