Leave services that answered at once out of request lines

A line of a partial answer at 20 services had 2.4 KB, most of it spans of services that answered at their first attempt. They are named only among the slowest three.

--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -18,6 +18,8 @@
 SUMMARY_INTERVAL_S = 10.0
 # Services in one line; a query may ask hundreds, at about 150 bytes each.
 DESCRIBED_SERVICES = 12
+# Services that answered at once are named only if no others were slower.
+SLOWEST_SERVICES = 3
 ANSWERED = 'answered'
 _MS = 1000
 
@@ -157,7 +159,13 @@
 def _describe_legs(work: gathering.Work, now: float) -> dict[str, Any]:
     """Return the services that say most: without part, then the slowest."""
     legs = sorted(work.legs, key=lambda leg: _weight(leg, now), reverse=True)
-    shown = legs[:DESCRIBED_SERVICES]
+    shown = [
+        leg
+        for place, leg in enumerate(legs[:DESCRIBED_SERVICES])
+        if place < SLOWEST_SERVICES
+        or leg.reply is None
+        or len(leg.attempts) > 1
+    ]
     return {
         'services': [_describe(leg, now) for leg in shown],
         'services_left_out': len(legs) - len(shown),
