--- a/bench/hostcontrol.py
+++ b/bench/hostcontrol.py
@@ -3,7 +3,7 @@
 The hosts are real processes without callers, so that all they do is control;
 the stand-in of the store runs in this process and counts. Command: `python -m
 bench.run hostcontrol`; it takes about four minutes. Not modelled: the time
-that calls take on the way, and pages of the list of backend servers.
+that calls take on the way.
 """
 
 import pathlib
@@ -25,6 +25,8 @@
 SIZES = (8, 16, 32)
 # Entries of backend servers, as at the larger site of the users.
 ENTRIES = 140
+# Items of a page as the platform sends them.
+PAGE_ITEMS = 500
 ZONES = 4
 IDLE_S = 20.0
 CHANGES_PER_S = 2
@@ -76,6 +78,7 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.page_items = PAGE_ITEMS
         self.bytes = 0
         self.called_at: list[float] = []
 
--- a/standins/users.py
+++ b/standins/users.py
@@ -20,7 +20,7 @@
 _LONGEST_POLL_S = 0.02
 _SILENCE_S = 60
 # Smaller than the platform's, so that tests have several pages.
-_PAGE_ITEMS = 20
+PAGE_ITEMS = 20
 _OPERATORS_PREFIXES = ('op/', 'servers/')
 
 
@@ -41,6 +41,7 @@
         self.is_silent = False
         self.is_over_rate = False
         self.delay_s: float = 0
+        self.page_items = PAGE_ITEMS
         # Whether an answer is lost, by the kind of call.
         self.loses_answers_of: set[str] = set()
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
@@ -141,7 +142,7 @@
             for key in self.items_by_key
             if key.startswith(prefix) and key > after
         )
-        page = keys[:_PAGE_ITEMS]
+        page = keys[: self.page_items]
         rows = [self._render(key) for key in page]
         return self._answer({'items': rows, 'has_more': len(page) < len(keys)})
 
