--- a/tests/test_aggregatorlinks.py
+++ b/tests/test_aggregatorlinks.py
@@ -126,6 +126,7 @@
             clock=time.monotonic,
             random=generator,
             metrics=self.metrics,
+            journal=mock.Mock(),
             tracer=tracing.Tracer('entry', generator, 0),
         )
         self.peers = {name: Peer() for name in ('a1', 'a2', 'b1', 'b2')}
