Emulate fleets in virtual time, and compare decisions

Not modelled: the store, bytes, hosts that stop.

The virtual time of bench.service_model is lab.timeline now.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The lock is complete, so nothing has to be resolved. `installer.txt` comes
 # first: the pip of Python 3.11 took 50 s for the rest, this one takes 23 s.
 PIP = $(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --require-hashes
-SOURCES = cardamomflow standins tests bench tools
+SOURCES = cardamomflow lab standins tests bench tools
 
 export PYTHONPATH := $(CURDIR)
 # The programs are started many times by the tests; without bytecode each start
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -16,6 +16,7 @@
 
 from bench import result, senders, service_model
 from cardamomflow import rules
+from lab import timeline
 
 SEED = 20261204
 DURATION_S = 16.0
@@ -55,7 +56,7 @@
 class World(NamedTuple):
     """What a scenario may act on."""
 
-    clock: service_model.Clock
+    clock: timeline.Timeline
     size: service_model.Size
     servers: list[list[service_model.BackendServer]]
     sender: service_model.Sender
@@ -186,7 +187,7 @@
 ) -> Outcome:
     """Run one scenario with one sender."""
     begun = time.perf_counter()
-    clock = service_model.Clock()
+    clock = timeline.Timeline()
     source = random.Random(seed)
     servers = [
         [
@@ -213,7 +214,7 @@
     SCENARIOS[scenario](world)
     if isinstance(sender, senders.Policy):
         sender.poll(duration_s)
-    clock.run()
+    clock.run(math.inf)
     window_s = duration_s * (FLOOD_END_PART - BEGIN_PART)
     return _outcome(
         (scenario, size.name, sender_name),
@@ -225,7 +226,7 @@
 
 def _sender(
     name: str,
-    clock: service_model.Clock,
+    clock: timeline.Timeline,
     size: service_model.Size,
     servers: list[list[service_model.BackendServer]],
     seed: int,
--- a/bench/service_model.py
+++ b/bench/service_model.py
@@ -7,15 +7,14 @@
 
 import abc
 import collections
-import heapq
-import itertools
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from hdrh import histogram
 
 from cardamomflow import limits, rules
+from lab import timeline
 
 ROUND_TRIP_S = 0.001
 SERVICE_MEDIAN_S = 0.006
@@ -57,31 +56,6 @@
     rates_by_rank: dict[rules.Rank, float]
 
 
-class Clock:
-    """Virtual time and its events."""
-
-    def __init__(self) -> None:
-        self.now: float = 0
-        self._events: list[Any] = []
-        self._sequence = itertools.count()
-
-    def after(
-        self, delay_s: float, action: Callable[..., None], *args: Any
-    ) -> None:
-        """Run an action after a delay."""
-        heapq.heappush(
-            self._events,
-            (self.now + delay_s, next(self._sequence), action, args),
-        )
-
-    def run(self) -> None:
-        """Run all events."""
-        while self._events:
-            event = heapq.heappop(self._events)
-            self.now = event[0]
-            event[2](*event[3])
-
-
 class Query:
     """One query with its open items."""
 
@@ -135,7 +109,7 @@
         self,
         backend_id: str,
         slots: int,
-        clock: Clock,
+        clock: timeline.Timeline,
         service_random: random.Random,
     ) -> None:
         self.backend_id = backend_id
@@ -265,7 +239,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: timeline.Timeline,
         size: Size,
         servers: list[list[BackendServer]],
         targets_s: dict[rules.Rank, float],
--- /dev/null
+++ b/lab/hosts.py
@@ -0,0 +1,290 @@
+"""Emulated hosts: the product's decisions on virtual time.
+
+A host runs the dispatcher of the product. Its processor serves one call after
+the other, its idle connections are kept, and what it knows of backend servers
+comes late. Not modelled: the store, bytes, and hosts that stop.
+"""
+
+import abc
+import collections
+import random
+from collections.abc import Callable, Iterable
+
+from cardamomflow import (
+    directory,
+    dispatching,
+    gathering,
+    limits,
+    register,
+    routes,
+)
+from lab import deployments, servers, timeline
+
+KEEP_ALIVE_S = 15.0
+_REFUSED = limits.CallOutcome.REFUSED_CONNECTION
+
+
+class Decisions(abc.ABC):
+    """Decides for one host where attempts go.
+
+    `dispatching.Dispatcher` has this interface; baselines implement it.
+    """
+
+    @abc.abstractmethod
+    def start(self, work: gathering.Work, now: float) -> None:
+        """Take a request."""
+
+    @abc.abstractmethod
+    def tick(self, work: gathering.Work, now: float) -> float:
+        """Look after a request; return when to look again."""
+
+    @abc.abstractmethod
+    def answered(
+        self, attempt: gathering.Attempt, reply: gathering.Reply, now: float
+    ) -> None:
+        """Take a whole answer."""
+
+    @abc.abstractmethod
+    def failed(
+        self,
+        attempt: gathering.Attempt,
+        outcome: limits.CallOutcome,
+        now: float,
+    ) -> None:
+        """Take the end of an attempt without a whole answer."""
+
+    @abc.abstractmethod
+    def cancelled(self, attempt: gathering.Attempt, now: float) -> None:
+        """Take the end of an attempt that nobody waits for."""
+
+    @abc.abstractmethod
+    def changed(self, changes: Iterable[directory.Change], now: float) -> None:
+        """Take changes of the list of backend servers."""
+
+    @abc.abstractmethod
+    def take_sends(self) -> list[gathering.Attempt]:
+        """Return the attempts to send since the last call."""
+
+
+Decisions.register(dispatching.Dispatcher)
+
+
+class Request:
+    """A request at a host; the one who asked is told its end."""
+
+    def __init__(
+        self,
+        kind: deployments.Kind,
+        work: gathering.Work,
+        ended: Callable[[gathering.Work, gathering.Ending], None],
+    ) -> None:
+        """Take a request that has just arrived."""
+        self.kind = kind
+        self.work = work
+        self.ended = ended
+        self.calls_by_attempt: dict[gathering.Attempt, servers.Call] = {}
+
+
+class Host:
+    """One host of the fleet."""
+
+    def __init__(
+        self,
+        zone: str,
+        deployment: deployments.Deployment,
+        servers_by_id: dict[str, servers.BackendServer],
+        clock: timeline.Timeline,
+        create: Callable[[directory.Directory, str, random.Random], Decisions],
+        seed: str,
+    ) -> None:
+        """Start with all backend servers listed."""
+        self.zone = zone
+        self.attempts = 0
+        self.needed = 0
+        self.directory = directory.Directory()
+        self._deployment = deployment
+        self._servers_by_id = servers_by_id
+        self._clock = clock
+        self._requests: dict[gathering.Work, Request] = {}
+        self._idle_by_id: dict[str, collections.deque[float]] = {}
+        self._busy_until: float = 0
+        for server in servers_by_id.values():
+            self.directory.listed(_listed(server))
+        self._decisions = create(self.directory, zone, random.Random(seed))
+
+    @property
+    def waiting(self) -> int:
+        """Parts of requests that wait for a backend server."""
+        return sum(leg.waiting for work in self._requests for leg in work.legs)
+
+    def ask(
+        self,
+        route: routes.Route,
+        services: tuple[str, ...],
+        patience_s: float,
+        kind: deployments.Kind,
+        ended: Callable[[gathering.Work, gathering.Ending], None],
+    ) -> None:
+        """Take a request of a caller."""
+        now = self._clock.now
+        work = gathering.Work(route, services, None, now, patience_s)
+        self._requests[work] = Request(kind, work, ended)
+        self.needed += len(services)
+        self._decisions.start(work, now)
+        self._send()
+        self._look(work)
+
+    def set_listed(
+        self, server: servers.BackendServer, *, listed: bool
+    ) -> None:
+        """Learn that a backend server is listed, or no longer."""
+        now = self._clock.now
+        if listed:
+            change = self.directory.listed(_listed(server))
+        else:
+            change = self.directory.vanished(server.backend_id, now)
+        if change is not None:
+            self._decisions.changed([change], now)
+            self._send()
+
+    # Requests in progress.
+
+    def _look(self, work: gathering.Work) -> None:
+        """End a request that is finished, or look at it again."""
+        if work not in self._requests:
+            return
+        now = self._clock.now
+        if work.is_finished(now):
+            self._end(work)
+            return
+        next_at = self._decisions.tick(work, now)
+        self._send()
+        self._clock.after(max(0, next_at - now), self._look, work)
+
+    def _end(self, work: gathering.Work) -> None:
+        request = self._requests.pop(work)
+        ending = work.end()
+        if work.answered < work.needed:
+            for attempt in work.open_attempts():
+                self._cancel(request, attempt)
+        request.ended(work, ending)
+        self._send()
+
+    def _cancel(self, request: Request, attempt: gathering.Attempt) -> None:
+        """Close the connection of an attempt."""
+        call = request.calls_by_attempt.pop(attempt, None)
+        if call is None:
+            # The connection is still being opened.
+            return
+        server = self._servers_by_id[attempt.backend_id]
+        server.disconnect()
+        self._clock.after(self._way_s(server), server.cancel, call)
+        self._decisions.cancelled(attempt, self._clock.now)
+
+    # Attempts.
+
+    def _send(self) -> None:
+        for attempt in self._decisions.take_sends():
+            self.attempts += 1
+            # Calls of one host leave one after the other.
+            self._busy_until = (
+                max(self._busy_until, self._clock.now)
+                + self._deployment.call_cpu_s
+            )
+            self._clock.after(
+                self._busy_until - self._clock.now, self._connect, attempt
+            )
+
+    def _connect(self, attempt: gathering.Attempt) -> None:
+        request = self._requests.get(attempt.leg.work)
+        server = self._servers_by_id[attempt.backend_id]
+        if request is None:
+            self._decisions.cancelled(attempt, self._clock.now)
+            return
+        is_kept = self._take_idle(server)
+        if not is_kept and (server.faults.is_crashed or not server.connect()):
+            self._clock.after(2 * self._way_s(server), self._refused, attempt)
+            return
+        way_s = self._way_s(server)
+        connection_s = 0 if is_kept else server.service.connection_s
+        handshake_s = 0 if is_kept else 2 * way_s
+        call = servers.Call(
+            request.kind,
+            lambda reply: self._clock.after(
+                way_s, self._answered, request, attempt, reply
+            ),
+        )
+        attempt.sent = True
+        request.calls_by_attempt[attempt] = call
+        self._clock.after(
+            handshake_s + way_s, server.arrive, call, connection_s
+        )
+        self._clock.after(
+            max(0, attempt.leg.work.deadline - self._clock.now),
+            self._timed_out,
+            request,
+            attempt,
+        )
+
+    def _take_idle(self, server: servers.BackendServer) -> bool:
+        """Tell whether an idle connection could be taken."""
+        idle = self._idle_by_id.get(server.backend_id)
+        while idle:
+            if idle.pop() > self._clock.now and not server.faults.is_crashed:
+                return True
+            server.disconnect()
+        return False
+
+    def _refused(self, attempt: gathering.Attempt) -> None:
+        self._decisions.failed(attempt, _REFUSED, self._clock.now)
+        self._go_on(attempt)
+
+    def _answered(
+        self,
+        request: Request,
+        attempt: gathering.Attempt,
+        reply: gathering.Reply,
+    ) -> None:
+        if request.calls_by_attempt.pop(attempt, None) is None:
+            return
+        idle = self._idle_by_id.setdefault(
+            attempt.backend_id, collections.deque()
+        )
+        idle.append(self._clock.now + KEEP_ALIVE_S)
+        self._decisions.answered(attempt, reply, self._clock.now)
+        self._go_on(attempt)
+
+    def _timed_out(self, request: Request, attempt: gathering.Attempt) -> None:
+        call = request.calls_by_attempt.pop(attempt, None)
+        if call is None:
+            return
+        server = self._servers_by_id[attempt.backend_id]
+        server.disconnect()
+        server.cancel(call)
+        self._decisions.failed(
+            attempt, limits.CallOutcome.TIMEOUT, self._clock.now
+        )
+        self._go_on(attempt)
+
+    def _go_on(self, attempt: gathering.Attempt) -> None:
+        self._send()
+        work = attempt.leg.work
+        if work in self._requests and work.is_finished(self._clock.now):
+            self._end(work)
+
+    def _way_s(self, server: servers.BackendServer) -> float:
+        if server.zone == self.zone:
+            return self._deployment.in_zone_s
+        return self._deployment.between_zones_s
+
+
+def _listed(server: servers.BackendServer) -> register.Backend:
+    return register.Backend(
+        server.backend_id,
+        server.service.name,
+        server.zone,
+        '10.0.0.1',
+        1,
+        '',
+        leaving=False,
+    )
--- /dev/null
+++ b/lab/reports.py
@@ -0,0 +1,130 @@
+"""Report and plots of an experiment."""
+
+import pathlib
+import statistics
+from collections.abc import Iterator, Sequence
+
+import click
+
+from lab import experiments
+
+_PERCENT = 100
+
+
+def lines(
+    outcomes: Sequence[experiments.Outcome], decisions: Sequence[str]
+) -> Iterator[str]:
+    """Return a Markdown report.
+
+    Goodput is the worth that callers got, of the worth that they asked for;
+    a caller who got nothing, or an answer after the target, is not served.
+    """
+    yield '| deployment, scenario | decisions | goodput | attempts / needed |'
+    yield '| --- | --- | --- | --- |'
+    for deployment, scenario in experiments.by_scenario(outcomes):
+        for each in decisions:
+            found = _of(outcomes, deployment, scenario, each)
+            yield (
+                f'| {deployment}, {scenario} | {each}'
+                f' | {_mean(one.goodput for one in found):.3f}'
+                f' | {_mean(one.extra_load for one in found):.3f} |'
+            )
+    yield ''
+    yield '| deployment, scenario | kind | decisions | in target | p50 ms'
+    yield '| --- | --- | --- | --- | --- |'
+    for deployment, scenario in experiments.by_scenario(outcomes):
+        for each in decisions:
+            found = _of(outcomes, deployment, scenario, each)
+            yield from _kind_rows(found, f'{deployment}, {scenario}', each)
+
+
+def draw(
+    outcomes: Sequence[experiments.Outcome],
+    decisions: Sequence[str],
+    path: pathlib.Path,
+) -> None:
+    """Draw goodput and waiting parts over time, a row for each scenario.
+
+    Raises
+    ------
+    click.UsageError
+        matplotlib, a development dependency, is not installed.
+    """
+    try:
+        from matplotlib import figure  # noqa: PLC0415  # optional
+    except ImportError as error:
+        raise click.UsageError(
+            '--plot needs matplotlib; install requirements/development.txt'
+        ) from error
+    rows = list(experiments.by_scenario(outcomes))
+    drawn = figure.Figure(figsize=(12, 2.4 * len(rows)), layout='constrained')
+    axes = drawn.subplots(len(rows), 3, squeeze=False)
+    for row, (deployment, scenario) in zip(axes, rows, strict=True):
+        row[0].set_ylabel(f'{deployment}\n{scenario}')
+        for each in decisions:
+            found = _of(outcomes, deployment, scenario, each)
+            _draw_row(row, found, each)
+    for axis, title in zip(
+        axes[0],
+        ('worth a second', 'parts that wait', 'in target, % by kind'),
+        strict=True,
+    ):
+        axis.set_title(title)
+    axes[0][0].legend()
+    drawn.savefig(path)
+
+
+def _draw_row(
+    row: Sequence[object],
+    found: Sequence[experiments.Outcome],
+    decisions: str,
+) -> None:
+    samples = found[0].samples
+    times = [sample[0] for sample in samples]
+    worth, waiting, in_target = row
+    rates = [
+        (later[2] - earlier[2]) / (later[0] - earlier[0])
+        for earlier, later in zip(samples[:-10], samples[10:], strict=True)
+    ]
+    worth.plot(times[10:], rates, label=decisions)
+    waiting.plot(times, [sample[1] for sample in samples])
+    in_target.plot(
+        [kind.kind for kind in found[0].kinds],
+        [
+            _PERCENT * _mean(one.kinds[place].in_target for one in found)
+            for place in range(len(found[0].kinds))
+        ],
+        'o',
+    )
+
+
+def _kind_rows(
+    found: Sequence[experiments.Outcome], title: str, decisions: str
+) -> Iterator[str]:
+    for place, first in enumerate(found[0].kinds):
+        kinds = [one.kinds[place] for one in found]
+        yield (
+            f'| {title} | {first.kind} ({first.rank}) | {decisions}'
+            f' | {_mean(kind.in_target for kind in kinds):.3f}'
+            f' | {_mean(kind.p50_ms for kind in kinds):.0f} /'
+            f' {_mean(kind.p99_ms for kind in kinds):.0f} |'
+        )
+
+
+def _of(
+    outcomes: Sequence[experiments.Outcome],
+    deployment: str,
+    scenario: str,
+    decisions: str,
+) -> list[experiments.Outcome]:
+    return [
+        outcome
+        for outcome in outcomes
+        if outcome.case.deployment == deployment
+        and outcome.case.scenario == scenario
+        and outcome.case.decisions == decisions
+    ]
+
+
+def _mean(values: Iterator[float]) -> float:
+    return statistics.fmean(values)
--- /dev/null
+++ b/lab/servers.py
@@ -0,0 +1,189 @@
+"""Emulated backend servers.
+
+Owns slots, the queue behind them, new connections, pauses, cold starts and
+faults. Work whose caller went away is dropped, as most backend servers do.
+Not modelled: bytes, and a slowdown of nearly full backend servers.
+"""
+
+import collections
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cardamomflow import gathering
+from lab import deployments, timeline
+
+COLD_S = 3.0
+COLD_FACTOR = 1.6
+FAST_FAILURE_S = 0.002
+_OK = 200
+_FAILED = 500
+_FULL = 503
+_RECORD = bytes(gathering.RECORD_BYTES)
+
+
+class Faults(NamedTuple):
+    """What is wrong with a backend server.
+
+    Attributes
+    ----------
+    factor : float
+        Of the time that work takes.
+    failing_share : float
+        Share of requests that fail at once while the health answer is good.
+    is_dark : bool
+        Nothing is accepted and nothing comes back.
+    is_crashed : bool
+        Connections are refused.
+    hides_load : bool
+        Reports tell an idle backend server.
+    """
+
+    factor: float = 1.0
+    failing_share: float = 0
+    is_dark: bool = False
+    is_crashed: bool = False
+    hides_load: bool = False
+
+
+class Call:
+    """One request at a backend server."""
+
+    __slots__ = ('kind', 'respond', 'is_cancelled', 'is_running')
+
+    def __init__(
+        self,
+        kind: deployments.Kind,
+        respond: Callable[[gathering.Reply], None],
+    ) -> None:
+        self.kind = kind
+        self.respond = respond
+        self.is_cancelled = False
+        self.is_running = False
+
+
+class BackendServer:
+    """A backend server of one service."""
+
+    def __init__(
+        self,
+        backend_id: str,
+        service: deployments.Service,
+        number: int,
+        clock: timeline.Timeline,
+        seed: str,
+    ) -> None:
+        """Start warm and without work."""
+        self.backend_id = backend_id
+        self.service = service
+        self.zone = service.zones[number]
+        self.faults = Faults()
+        self.runs = 0
+        self._speed = service.speeds[number % len(service.speeds)]
+        self._clock = clock
+        self._random = random.Random(f'{seed}/{backend_id}')
+        self._waiting: collections.deque[Call] = collections.deque()
+        self._in_use = 0
+        self._connections = 0
+        self._paused_until: float = 0
+        self._cold_from = -COLD_S
+        if service.pause_s:
+            self._clock.after(
+                self._random.uniform(0, service.pause_every_s), self._pause
+            )
+
+    def connect(self) -> bool:
+        """Tell whether a new connection is accepted."""
+        if self._connections >= self.service.connections:
+            return False
+        self._connections += 1
+        return True
+
+    def disconnect(self) -> None:
+        """Close a connection."""
+        self._connections -= 1
+
+    def arrive(self, call: Call, connection_s: float) -> None:
+        """Take a request, on a new connection if that costs time."""
+        if call.is_cancelled or self.faults.is_dark:
+            return
+        if self._random.random() < self.faults.failing_share:
+            self._clock.after(FAST_FAILURE_S, self._answer, call, _FAILED)
+        elif self._in_use < self.service.slots:
+            self._start(call, connection_s)
+        elif len(self._waiting) < self.service.queue:
+            self._waiting.append(call)
+        else:
+            self._answer(call, _FULL)
+
+    def cancel(self, call: Call) -> None:
+        """Take the end of the connection of a request."""
+        call.is_cancelled = True
+        if call.is_running:
+            self._free(call)
+
+    def restart(self) -> None:
+        """Come back empty and cold."""
+        self.faults = Faults()
+        self._waiting.clear()
+        self._in_use = 0
+        self._cold_from = self._clock.now
+
+    def _pause(self) -> None:
+        now = self._clock.now
+        self._paused_until = now + self.service.pause_s
+        self._clock.after(self.service.pause_every_s, self._pause)
+
+    def _start(self, call: Call, connection_s: float) -> None:
+        self._in_use += 1
+        self.runs += 1
+        call.is_running = True
+        waits_s = max(0, self._paused_until - self._clock.now)
+        self._clock.after(
+            waits_s + connection_s + self._work_s(call.kind),
+            self._finish,
+            call,
+        )
+
+    def _work_s(self, kind: deployments.Kind) -> float:
+        work_s = kind.work_s * self._random.lognormvariate(
+            -kind.spread * kind.spread / 2, kind.spread
+        )
+        if self._random.random() < kind.tail_share:
+            work_s *= kind.tail_factor
+        is_cold = self._clock.now - self._cold_from < COLD_S
+        cold = COLD_FACTOR if is_cold else 1
+        return work_s * self._speed * cold * self.faults.factor
+
+    def _finish(self, call: Call) -> None:
+        if call.is_running:
+            self._free(call)
+            self._answer(call, _OK)
+
+    def _free(self, call: Call) -> None:
+        call.is_running = False
+        self._in_use = max(0, self._in_use - 1)
+        while self._waiting and self._in_use < self.service.slots:
+            following = self._waiting.popleft()
+            if not following.is_cancelled:
+                self._start(following, 0)
+
+    def _answer(self, call: Call, status: int) -> None:
+        if self.faults.is_dark or call.is_cancelled:
+            return
+        load = gathering.Load(
+            self._in_use, len(self._waiting), self.service.slots
+        )
+        if self.faults.hides_load:
+            load = gathering.Load(0, 0, self.service.slots)
+        call.respond(
+            gathering.Reply(
+                status=status,
+                headers=[],
+                body=_RECORD,
+                stamp=self.backend_id if status == _OK else None,
+                not_run=status == _FULL,
+                misdirected=False,
+                load=load,
+            )
+        )
