--- a/cardamomflow/requestcauses.py
+++ b/cardamomflow/requestcauses.py
@@ -106,7 +106,7 @@
         )
     left_out = document.get('services_left_out')
     if left_out:
-        lines.append(f'{_INDENT}{left_out} services that took less')
+        lines.append(f'{_INDENT}and {left_out} more services')
     return lines
 
 
--- a/lab/experiments.py
+++ b/lab/experiments.py
@@ -57,6 +57,8 @@
     case : Case
     goodput : float
         Worth that callers got, of the worth that they asked for.
+    best_goodput : float
+        What any decisions could have got at most, see `bounds`.
     extra_load : float
         Attempts divided by the attempts that were needed.
     kinds : list of KindFigures
@@ -66,6 +68,7 @@
 
     case: Case
     goodput: float
+    best_goodput: float
     extra_load: float
     kinds: list[KindFigures]
     samples: list[tuple[float, int, float]]
@@ -102,6 +105,7 @@
     return Outcome(
         case,
         sum(one.worth for one in figures) / asked,
+        world.capacity.best_goodput(),
         sum(host.attempts for host in world.hosts)
         / sum(host.needed for host in world.hosts),
         list(map(_kind_figures, figures)),
--- a/lab/reports.py
+++ b/lab/reports.py
@@ -19,14 +19,18 @@
     Goodput is the worth that callers got, of the worth that they asked for;
     a caller who got nothing, or an answer after the target, is not served.
     """
-    yield '| deployment, scenario | decisions | goodput | attempts / needed |'
-    yield '| --- | --- | --- | --- |'
+    yield (
+        '| deployment, scenario | decisions | goodput | at best'
+        ' | attempts / needed |'
+    )
+    yield '| --- | --- | --- | --- | --- |'
     for deployment, scenario in experiments.by_scenario(outcomes):
         for each in decisions:
             found = _of(outcomes, deployment, scenario, each)
             yield (
                 f'| {deployment}, {scenario} | {each}'
                 f' | {_mean(one.goodput for one in found):.3f}'
+                f' | {_mean(one.best_goodput for one in found):.3f}'
                 f' | {_mean(one.extra_load for one in found):.3f} |'
             )
     yield ''
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -92,6 +92,15 @@
                 self._random.uniform(0, service.pause_every_s), self._pause
             )
 
+    @property
+    def working_slots(self) -> float:
+        """Slots, each by how fast it works now; none while it is away."""
+        if self.faults.is_dark or self.faults.is_crashed:
+            return 0
+        return self.service.slots / (
+            self._speed * self._cold_factor() * self.faults.factor
+        )
+
     def connect(self) -> bool:
         """Tell whether a new connection is accepted."""
         if self._connections >= self.service.connections:
@@ -151,9 +160,11 @@
         )
         if self._random.random() < kind.tail_share:
             work_s *= kind.tail_factor
+        return work_s * self._speed * self._cold_factor() * self.faults.factor
+
+    def _cold_factor(self) -> float:
         is_cold = self._clock.now - self._cold_from < COLD_S
-        cold = COLD_FACTOR if is_cold else 1
-        return work_s * self._speed * cold * self.faults.factor
+        return COLD_FACTOR if is_cold else 1
 
     def _finish(self, call: Call) -> None:
         if call.is_running:
--- a/lab/worlds.py
+++ b/lab/worlds.py
@@ -14,7 +14,7 @@
 from hdrh import histogram
 
 from cardamomflow import dispatching, gathering, hosting, routes
-from lab import deployments, hosts, plain, servers, timeline
+from lab import bounds, deployments, hosts, plain, servers, timeline
 
 SAMPLE_S = 0.1
 _US_PER_S = 1_000_000
@@ -104,6 +104,7 @@
             kind.name: Figures(kind) for kind in deployment.kinds
         }
         self.samples: list[Sample] = []
+        self.capacity = bounds.Capacity(deployment)
         create = _plain if baseline == 'plain' else self._create_dispatcher
         self.hosts = [
             hosts.Host(
@@ -126,6 +127,7 @@
             for zone in zones:
                 self._schedule(kind, zone, len(zones), length_s)
         self._sample(length_s)
+        self.clock.after(bounds.SECOND_S / 2, self._sample_capacity, length_s)
         last_s = max(kind.deadline_s for kind in self.deployment.kinds)
         self.clock.run(length_s + last_s)
 
@@ -160,6 +162,7 @@
 
     def _due(self, kind: deployments.Kind, zone: str) -> None:
         self.figures_by_kind[kind.name].offered += 1
+        self.capacity.arrived(kind, self.clock.now)
         asking = Asking(kind, zone, self.clock.now, is_repeat=False)
         self.clock.after(self.deployment.client_s, self._ask, asking)
 
@@ -214,6 +217,15 @@
         if self.clock.now < length_s:
             self.clock.after(SAMPLE_S, self._sample, length_s)
 
+    def _sample_capacity(self, length_s: float) -> None:
+        """Note the working slots in the middle of each second."""
+        slots_by_service: collections.Counter[str] = collections.Counter()
+        for server in self.servers_by_id.values():
+            slots_by_service[server.service.name] += server.working_slots
+        self.capacity.sampled(slots_by_service)
+        if self.clock.now + bounds.SECOND_S < length_s:
+            self.clock.after(bounds.SECOND_S, self._sample_capacity, length_s)
+
     def _create_dispatcher(
         self, listed: object, zone: str, generator: random.Random
     ) -> hosts.Decisions:
