--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -17,6 +17,9 @@
 REQUESTS_PER_SLOT = 2
 # Hedges over a host's share at a backend server that last had a free slot.
 HEDGES_BEYOND = 1
+# A hedge behind more would come too late, and in overload it delays the rest:
+# in the lab 0.90 instead of 0.84 of the worth with callers who leave early.
+MAX_WAITING_BEFORE_HEDGE = 1
 # Time without new connections to a backend server that refused one: short,
 # since the platform lists a crashed one for seconds, and one that comes back
 # is wanted at once.
@@ -110,13 +113,19 @@
     def free_for_hedge(
         self, service: str, backend_ids: Sequence[str]
     ) -> list[str]:
-        """Return the backend servers that may start a hedge at once."""
-        free = self.free(service, backend_ids)
+        """Return the backend servers that may start a hedge soon."""
+        short = list(filter(self._had_short_queue, backend_ids))
+        free = self.free(service, short)
         if free:
             return free
-        beyond = self.free(service, backend_ids, HEDGES_BEYOND)
+        beyond = self.free(service, short, HEDGES_BEYOND)
         return list(filter(self._had_free_slot, beyond))
 
+    def _had_short_queue(self, backend_id: str) -> bool:
+        """Tell whether a backend server last reported no long queue."""
+        load = self._reports_by_id.get(backend_id)
+        return load is None or load.waiting <= MAX_WAITING_BEFORE_HEDGE
+
     def _had_free_slot(self, backend_id: str) -> bool:
         """Tell whether a backend server last reported a free slot."""
         load = self._reports_by_id.get(backend_id)
--- a/tests/test_heavy_load.py
+++ b/tests/test_heavy_load.py
@@ -126,6 +126,24 @@
         self.assertEqual(self.hedges(IDLE), 2)
         self.assertEqual(self.hedges(BUSY), 0)
 
+    def test_hedges_stop_in_overload(self):
+        """Guards against hedges that delay the requests of other callers.
+
+        The pattern of callers who leave early and come back.
+        """
+        limit = occupancy.MAX_WAITING_BEFORE_HEDGE
+        world = test_dispatching.World(('a',), connections=26, hosts=8)
+        route = test_dispatching.make_route('a', rank=rules.Rank.STANDARD)
+        work = world.start(route)
+        world.sends()
+        for waiting, expected in ((limit + 1, 0), (limit, 1)):
+            for backend_id in ('a0', 'a1'):
+                world.dispatcher.occupancy.reported(
+                    backend_id, gathering.Load(2, waiting, 2)
+                )
+            world.dispatcher.tick(work, work.answer_at)
+            self.assertEqual(len(world.sends()), expected)
+
 
 if __name__ == '__main__':
     unittest.main()
