Test the log lines of entries, and explain with a real process

Entries and aggregators had lines without a test: refused queries are bounded and summed, each refused operation has its line. A real host's log explains a failed payment, and says what it can't know of another id.

--- /dev/null
+++ b/tests/test_entry_lines.py
@@ -0,0 +1,120 @@
+"""Log lines of entries and aggregators about requests."""
+
+import json
+import random
+import time
+import types
+import unittest
+from unittest import mock
+
+import curio
+
+from cardamomflow import (
+    aggregator,
+    entry,
+    errors,
+    events,
+    requestcauses,
+    requestlog,
+    telemetry,
+    tracing,
+    webhandler,
+)
+from cardamomflow.generated import wire_pb2
+
+
+def make_around():
+    generator = random.Random(1)
+    return types.SimpleNamespace(
+        clock=time.monotonic,
+        random=generator,
+        metrics=telemetry.Metrics(),
+        journal=mock.Mock(),
+        tracer=tracing.Tracer('p', generator, 0),
+        settings={
+            'process_id': 'p',
+            'host': {'id': 'h', 'region': 'r', 'availability_zone': 'z'},
+        },
+    )
+
+
+def post(path, **document):
+    return webhandler.Request('POST', path, {}, json.dumps(document).encode())
+
+
+class EntryTest(unittest.TestCase):
+    def setUp(self):
+        self.around = make_around()
+        self.entry = entry.Entry(self.around)
+
+    def lines(self):
+        return [
+            {'event': call.args[0], **call.kwargs}
+            for call in self.around.journal.info.call_args_list
+        ]
+
+    def ask(self, path, **document):
+        return curio.run(self.entry.handle, post(path, **document))
+
+    def test_refused_query_has_its_line(self):
+        """Guards against a refusal at an entry that nothing explains."""
+        response = self.ask('/v1/query', request_id='r1')
+        (line,) = self.lines()
+        self.assertEqual(response.status, errors.NotReady.status)
+        self.assertEqual(line['event'], events.Event.REQUEST_REFUSED)
+        self.assertEqual(
+            (line['request_id'], line['code'], line['configuration_revision']),
+            ('r1', 'not_ready', None),
+        )
+        told = requestcauses.explain('r1', [json.dumps(line)])
+        self.assertTrue(told[-1].startswith('cause: not_ready: '))
+
+    def test_every_refused_operation_has_its_line(self):
+        """Guards against a payment that was refused without a trace."""
+        count = int(2 * requestlog.BURST_LINES)
+        for number in range(count):
+            self.ask('/v1/operations', request_id=f'o{number}')
+        self.assertEqual(len(self.lines()), count)
+
+    def test_flood_of_refused_queries_is_bounded(self):
+        """Guards against a log that takes the processor in a flood."""
+        count = int(3 * requestlog.BURST_LINES)
+        for number in range(count):
+            self.ask('/v1/query', request_id=f'q{number}')
+        self.assertLess(len(self.lines()), 2 * requestlog.BURST_LINES)
+        self.entry.request_log.summarise()
+        summary = self.lines()[-1]
+        self.assertEqual(summary['ended'], {'not_ready': count})
+
+    def test_shards_that_are_missing_are_the_cause(self):
+        """Guards against a partial answer whose shards nobody names."""
+        self.entry.request_log.told(
+            'r1',
+            'partial',
+            repeatable=True,
+            parts=1,
+            asked=2,
+            missing=[{'service': 'lots', 'shard': 3, 'reason': 'no_replica'}],
+        )
+        (line,) = self.lines()
+        told = requestcauses.explain('r1', [json.dumps(line)])
+        self.assertEqual(
+            told[-1], 'cause: no part within the target: lots/3 no_replica'
+        )
+
+
+class AggregatorTest(unittest.TestCase):
+    def test_refused_operation_has_its_line(self):
+        """Guards against a refusal that only the entry's line tells."""
+        around = make_around()
+        program = aggregator.Aggregator(around, mock.Mock())
+        link = mock.AsyncMock()
+        request = wire_pb2.OperationRequest(request_id='o1', service='lots')
+        curio.run(program._operation, link, request)
+        (call,) = around.journal.info.call_args_list
+        self.assertEqual(call.kwargs['request_id'], 'o1')
+        self.assertEqual(call.kwargs['code'], errors.NotOwner.code)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -60,6 +60,24 @@
         documents = [json.loads(line) for line in whole if line.endswith('}')]
         return [line for line in documents if line['event'] == event]
 
+    def explain(self, request_id):
+        """Return what the command tells of a request from the log."""
+        return subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'cardamomflow',
+                'explain',
+                request_id,
+                self.log,
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=60,
+        ).stdout
+
     async def wait_stopped(self):
         await loops.until(lambda: self.process.poll() is not None, 15)
         return self.process.returncode
@@ -102,6 +120,23 @@
         self.assertEqual(connection, 'close')
         self.assertEqual(exit_status, 0)
 
+    def test_cause_of_a_failed_request_is_in_the_log(self):
+        """Guards against a failed payment that the log does not explain."""
+
+        async def scenario(world):
+            world.backends_by_id['a0'].answers_for = 'another'
+            answer = await world.ask(
+                '/payment/x', 'POST', b'pay', request_id='p1'
+            )
+            await loops.until(lambda: world.lines('request ended'))
+            return answer.status, world.explain('p1'), world.explain('p2')
+
+        status, told, missing = hostworld.play(scenario, HostProcess)
+        self.assertEqual(status, 502)
+        self.assertRegex(told, r'\+[0-9.]+ ms a0: failed after [0-9.]+ ms')
+        self.assertRegex(told, 'cause: no attempt was left: a failed .a0: ')
+        self.assertIn('cause: not known; none of', missing)
+
     def test_changed_settings_do_not_end_the_process(self):
         """Guards against a signal that a platform sends with new settings."""
 
