--- a/lab/experiments.py
+++ b/lab/experiments.py
@@ -46,6 +46,7 @@
     coverage: float
     p50_ms: float
     p99_ms: float
+    p999_ms: float
     ended: dict[str, int]
 
 
@@ -197,6 +198,7 @@
         figures.coverage / answered,
         figures.quantile_ms(50),
         figures.quantile_ms(99),
+        figures.quantile_ms(99.9),
         dict(figures.ended),
     )
 
--- a/lab/reports.py
+++ b/lab/reports.py
@@ -1,8 +1,9 @@
 """Report and plots of an experiment."""
 
+import collections
 import pathlib
 import statistics
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import click
 
@@ -34,8 +35,11 @@
                 f' | {_mean(one.extra_load for one in found):.3f} |'
             )
     yield ''
-    yield '| deployment, scenario | kind | decisions | in target | p50 ms'
-    yield '| --- | --- | --- | --- | --- |'
+    yield (
+        '| deployment, scenario | kind | decisions | in target | coverage'
+        ' | p50 / p99 / p99.9 ms | not answered |'
+    )
+    yield '| --- | --- | --- | --- | --- | --- | --- |'
     for deployment, scenario in experiments.by_scenario(outcomes):
         for each in decisions:
             found = _of(outcomes, deployment, scenario, each)
@@ -107,14 +111,33 @@
 ) -> Iterator[str]:
     for place, first in enumerate(found[0].kinds):
         kinds = [one.kinds[place] for one in found]
+        quantiles = ' / '.join(
+            f'{_mean(values):.0f}'
+            for values in zip(
+                *((kind.p50_ms, kind.p99_ms, kind.p999_ms) for kind in kinds),
+                strict=True,
+            )
+        )
         yield (
             f'| {title} | {first.kind} ({first.rank}) | {decisions}'
             f' | {_mean(kind.in_target for kind in kinds):.3f}'
-            f' | {_mean(kind.p50_ms for kind in kinds):.0f} /'
-            f' {_mean(kind.p99_ms for kind in kinds):.0f} |'
+            f' | {_mean(kind.coverage for kind in kinds):.3f}'
+            f' | {quantiles} | {_not_answered(kinds)} |'
         )
 
 
+def _not_answered(kinds: Sequence[experiments.KindFigures]) -> str:
+    """Return how requests without an answer ended, over all seeds."""
+    total: collections.Counter[str] = collections.Counter()
+    for kind in kinds:
+        total.update(kind.ended)
+    return ', '.join(
+        f'{count} {name}'
+        for name, count in sorted(total.items())
+        if name != 'answered'
+    )
+
+
 def _of(
     outcomes: Sequence[experiments.Outcome],
     deployment: str,
@@ -130,5 +153,5 @@
     ]
 
 
-def _mean(values: Iterator[float]) -> float:
+def _mean(values: Iterable[float]) -> float:
     return statistics.fmean(values)
