--- a/tests/agent_process.py
+++ b/tests/agent_process.py
@@ -36,9 +36,6 @@
     def gauge(self, name, value):
         self.counts[name] = value
 
-    def timing(self, name, duration_ms):
-        """Times are not used here."""
-
 
 class Surroundings:
     """Context as an agent needs it."""
