--- a/cardamomflow/load.py
+++ b/cardamomflow/load.py
@@ -15,7 +15,15 @@
 import click
 import curio
 
-from cardamomflow import errors, exits, loadplan, loadreport, loadrun, rules
+from cardamomflow import (
+    errors,
+    exits,
+    loadplan,
+    loadreport,
+    loadrun,
+    plotting,
+    rules,
+)
 
 _PLOTTED_PERCENTILES = (1, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9)
 _DEADLINES_MS = {
@@ -33,13 +41,7 @@
     click.UsageError
         matplotlib, a development dependency, is not installed.
     """
-    try:
-        from matplotlib import figure  # noqa: PLC0415  # optional
-    except ImportError as error:
-        raise click.UsageError(
-            '--plot needs matplotlib; install requirements/development.txt'
-        ) from error
-    drawing = figure.Figure(layout='constrained')
+    drawing = plotting.create_figure()
     axes = drawing.subplots()
     for rank, tally in sorted(report.by_rank.items()):
         axes.plot(
--- a/lab/reports.py
+++ b/lab/reports.py
@@ -5,8 +5,7 @@
 import statistics
 from collections.abc import Iterable, Iterator, Sequence
 
-import click
-
+from cardamomflow import plotting
 from lab import experiments
 
 _PERCENT = 100
@@ -58,14 +57,8 @@
     click.UsageError
         matplotlib, a development dependency, is not installed.
     """
-    try:
-        from matplotlib import figure  # noqa: PLC0415  # optional
-    except ImportError as error:
-        raise click.UsageError(
-            '--plot needs matplotlib; install requirements/development.txt'
-        ) from error
     rows = list(experiments.by_scenario(outcomes))
-    drawn = figure.Figure(figsize=(12, 2.4 * len(rows)), layout='constrained')
+    drawn = plotting.create_figure(figsize=(12, 2.4 * len(rows)))
     axes = drawn.subplots(len(rows), 3, squeeze=False)
     for row, (deployment, scenario) in zip(axes, rows, strict=True):
         row[0].set_ylabel(f'{deployment}\n{scenario}')
