--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -15,7 +15,8 @@
 # accepts connections, urgent ones waited behind searches there: in the lab 93%
 # of the checks kept their target with slow backend servers, now 99%.
 REQUESTS_PER_SLOT = 2
-# Hedges over a host's share at a backend server that last had a free slot.
+# Hedges over a host's share at a backend server with a short queue. Without
+# them rsg-intake's searches were late: 125 instead of 110 of a day's 1,714.
 HEDGES_BEYOND = 1
 # A hedge behind more would come too late, and in overload it delays the rest:
 # in the lab 0.90 instead of 0.84 of the worth with callers who leave early.
@@ -115,22 +116,13 @@
     ) -> list[str]:
         """Return the backend servers that may start a hedge soon."""
         short = list(filter(self._had_short_queue, backend_ids))
-        free = self.free(service, short)
-        if free:
-            return free
-        beyond = self.free(service, short, HEDGES_BEYOND)
-        return list(filter(self._had_free_slot, beyond))
+        return self.free(service, short, HEDGES_BEYOND)
 
     def _had_short_queue(self, backend_id: str) -> bool:
         """Tell whether a backend server last reported no long queue."""
         load = self._reports_by_id.get(backend_id)
         return load is None or load.waiting <= MAX_WAITING_BEFORE_HEDGE
 
-    def _had_free_slot(self, backend_id: str) -> bool:
-        """Tell whether a backend server last reported a free slot."""
-        load = self._reports_by_id.get(backend_id)
-        return load is None or load.running < load.slots
-
     def _share_of_slots(self, backend_id: str, unknown: int) -> int:
         """Return the requests of this host that keep a queue short."""
         load = self._reports_by_id.get(backend_id)
--- a/tests/test_heavy_load.py
+++ b/tests/test_heavy_load.py
@@ -121,7 +121,7 @@
             world.dispatcher.tick(work, work.answer_at)
         return len(world.sends())
 
-    def test_hedge_goes_to_a_free_slot_only(self):
+    def test_hedge_goes_to_a_short_queue_only(self):
         """Guards against hedges that wait behind what they are to pass."""
         self.assertEqual(self.hedges(IDLE), 2)
         self.assertEqual(self.hedges(BUSY), 0)
