Write waiting log lines when the reader is back

Lines that waited for a reader that had stopped were written only with further lines, 64 KB for each: a quiet host told 64 KB every 5 s, and the line that counts the lost ones was lost itself at first. A test with a real host, a pipe that nobody reads and 2,480 payments failed: no such line came within 20 s. Waiting lines are written every 0.05 s now.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -17,6 +17,7 @@
     hosting,
     links,
     localview,
+    logoutput,
     metricspage,
     operations,
     reloading,
@@ -87,7 +88,7 @@
         server.serve,
         view.run,
         program.aggregators.run,
-        functools.partial(_summarise, around, program.request_log),
+        *_log_tasks(around, program.request_log),
         *metricspage.tasks(around, around.settings.get('metrics')),
     )
     around.journal.info(events.Event.STARTED, port=server.port)
@@ -129,7 +130,7 @@
         program.run_pause_checks,
         functools.partial(program.run_view_checks, view),
         runner.run_background,
-        functools.partial(_summarise, around, program.request_log),
+        *_log_tasks(around, program.request_log),
         *metricspage.tasks(around, around.settings.get('metrics')),
     )
     around.journal.info(events.Event.STARTED, port=server.port)
@@ -182,7 +183,7 @@
         (
             program.transport.sweep,
             program.zones.run,
-            functools.partial(_summarise, around, program.request_log),
+            *_log_tasks(around, program.request_log),
             follower.follow,
             follower.expire_backends,
             follower.announce,
@@ -255,6 +256,23 @@
     return await program.stop(timeout_s) and drained
 
 
+def _log_tasks(
+    around: context.Context, request_log: requestlog.RequestLog
+) -> tuple[Callable[[], Awaitable[Any]], ...]:
+    """Return what keeps the log of a process going."""
+    return (
+        functools.partial(_flush_log, around),
+        functools.partial(_summarise, around, request_log),
+    )
+
+
+async def _flush_log(around: context.Context) -> None:
+    """Write lines that wait for a reader that is back, until cancelled."""
+    while True:
+        await curio.sleep(logoutput.FLUSH_INTERVAL_S)
+        around.log_output.flush()
+
+
 async def _summarise(
     around: context.Context, request_log: requestlog.RequestLog
 ) -> None:
--- a/cardamomflow/logoutput.py
+++ b/cardamomflow/logoutput.py
@@ -1,7 +1,8 @@
 """Standard output of a log that never blocks; owns the lines not yet written.
 
 A reader that stops reading costs lines, which are counted, and never a
-request. Writing goes on with the next line or the next `flush`.
+request. Writing goes on with the next line or the next `flush`, which the
+process calls at intervals.
 """
 
 import collections
@@ -10,6 +11,9 @@
 
 # About a minute of lines of a busy host.
 MAX_WAITING_LINES = 2000
+# A pipe takes 64 KB at once; a reader that is back has all lines after about
+# a second. Without it they waited for further lines, two in 10 s.
+FLUSH_INTERVAL_S = 0.05
 _ENCODING = 'utf-8'
 
 
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -8,11 +8,12 @@
 import sys
 import tempfile
 import unittest
+from unittest import mock
 
 import curio
 import yaml
 
-from cardamomflow import errors
+from cardamomflow import errors, logoutput, requestlog
 from cardamomflow.platform import wire
 from tests import hostworld, loops
 
@@ -177,6 +178,55 @@
         self.assertEqual(hostworld.play(scenario, HostProcess), (0, False))
 
 
+class StuckReaderProcess(HostProcess):
+    """A host whose log is a pipe that nobody reads until it is told to."""
+
+    def start_process(self, path):
+        self.process = subprocess.Popen(
+            [*PROGRAM, '--settings', path], cwd=ROOT, stdout=subprocess.PIPE
+        )
+        os.set_blocking(self.process.stdout.fileno(), False)
+
+    def lines(self, event):
+        """Take what the pipe holds; return the lines of an event so far."""
+        with self.log.open('ab') as log:
+            log.write(self.process.stdout.read() or b'')
+        return super().lines(event)
+
+    async def stop_host(self):
+        await super().stop_host()
+        self.process.stdout.close()
+
+
+class StuckReaderTest(unittest.TestCase):
+    def test_reader_that_stops_costs_lines_and_no_request(self):
+        """Guards against a host that waits for the collector of its log."""
+        callers = 8
+        payments = logoutput.MAX_WAITING_LINES // callers + 60
+
+        async def pay(world):
+            return [
+                (await world.ask('/payment/x', 'POST', b'pay')).status
+                for _ in range(payments)
+            ]
+
+        async def scenario(world):
+            async with curio.TaskGroup() as group:
+                for _ in range(callers):
+                    await group.spawn(pay, world)
+            statuses = {status for each in group.results for status in each}
+            await loops.until(
+                lambda: world.lines('log lines lost'),
+                2 * requestlog.SUMMARY_INTERVAL_S,
+            )
+            return statuses, world.lines('log lines lost')[0]['lines']
+
+        with mock.patch.object(loops, 'TIME_LIMIT_S', 90):
+            statuses, lost = hostworld.play(scenario, StuckReaderProcess)
+        self.assertEqual(statuses, {200})
+        self.assertGreater(lost, 0)
+
+
 class SettingsTest(unittest.TestCase):
     def check(self, document):
         with tempfile.TemporaryDirectory() as folder:
