Keep the state of an attempt in one place

A part of a request held three lists of its attempts, those that it asked, those that are open and all, and the dispatcher and the lab's baseline each kept them in step; the baseline did not keep the third. Which were asked and which are open is derived from the attempts and their outcomes now, and the outcome of an answer is told by the answer.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -140,9 +140,10 @@
             next_at = min(next_at, work.answer_at)
         delay_s = self._hedge_delay_s(work.route)
         for leg in work.open_legs():
-            if len(leg.open_attempts) != 1 or not _may_hedge(leg):
+            attempts = leg.open_attempts
+            if len(attempts) != 1 or not _may_hedge(leg):
                 continue
-            due_at = leg.open_attempts[0].started_at + delay_s
+            due_at = attempts[0].started_at + delay_s
             if due_at > now:
                 next_at = min(next_at, due_at)
             else:
@@ -157,7 +158,7 @@
         """Take a whole answer."""
         leg = attempt.leg
         self.reachability.heard(attempt.availability_zone)
-        self._settle(attempt, _outcome_of(reply), now)
+        self._settle(attempt, reply.outcome, now)
         if reply.load is not None:
             self._chooser.report(attempt.backend_id, *reply.load, 0, now)
             self.occupancy.reported(attempt.backend_id, reply.load)
@@ -182,7 +183,6 @@
         self._settle(attempt, outcome, now)
         if outcome is limits.CallOutcome.REFUSED_CONNECTION:
             self.occupancy.refused_connection(attempt.backend_id, now)
-            leg.asked.remove(attempt.backend_id)
             leg.avoided.add(attempt.backend_id)
             if not leg.is_settled:
                 self._place(leg, now)
@@ -224,9 +224,7 @@
         now: float,
     ) -> None:
         backend_id = attempt.backend_id
-        attempt.leg.open_attempts.remove(attempt)
-        attempt.ended_at = now
-        attempt.outcome = outcome.name.lower()
+        attempt.end(outcome, now)
         self.occupancy.ended(backend_id)
         latency_s = now - attempt.started_at
         self._chooser.observe(backend_id, outcome, latency_s, now)
@@ -284,13 +282,9 @@
             return False
         zone = self._directory.backends_by_id[backend_id].availability_zone
         self.reachability.asked(zone, backend_id, now)
-        attempt = gathering.Attempt(leg, backend_id, zone, now)
-        leg.asked.append(backend_id)
-        leg.open_attempts.append(attempt)
-        leg.attempts.append(attempt)
         self.occupancy.started(backend_id)
         self._chooser.started(backend_id, now)
-        self._sends.append(attempt)
+        self._sends.append(leg.ask(backend_id, zone, now))
         return True
 
     def _is_reachable(self, backend_id: str) -> bool:
@@ -299,12 +293,13 @@
 
     def _candidates(self, leg: gathering.Leg, now: float) -> list[str]:
         """Return whom a leg may ask, without those known to be away."""
-        if len(leg.asked) >= leg.work.route.attempts:
+        asked = leg.asked
+        if len(asked) >= leg.work.route.attempts:
             return []
         listed = [
             backend_id
             for backend_id in self._directory.usable(leg.service)
-            if backend_id not in leg.asked
+            if backend_id not in asked
             and backend_id not in leg.avoided
             and self._is_reachable(backend_id)
         ]
@@ -349,11 +344,3 @@
 
 def _may_hedge(leg: gathering.Leg) -> bool:
     return leg.work.route.repeatable and not leg.waiting
-
-
-def _outcome_of(reply: gathering.Reply) -> limits.CallOutcome:
-    if reply.succeeded:
-        return limits.CallOutcome.SUCCESS
-    if reply.not_run:
-        return limits.CallOutcome.SHED
-    return limits.CallOutcome.FAILED
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from cardamomflow import routes
+from cardamomflow import limits, routes
 
 RECORD_BYTES = 16
 # Kept back from the target for the way between this host and the caller, and
@@ -60,6 +60,15 @@
         """Whether the backend server did what was asked."""
         return 200 <= self.status < 300  # noqa: WPS432  # the 2xx statuses
 
+    @property
+    def outcome(self) -> limits.CallOutcome:
+        """What the answer says of the attempt."""
+        if self.succeeded:
+            return limits.CallOutcome.SUCCESS
+        if self.not_run:
+            return limits.CallOutcome.SHED
+        return limits.CallOutcome.FAILED
+
 
 class Ending(enum.Enum):
     """How a request ended."""
@@ -78,9 +87,7 @@
     __slots__ = (
         'work',
         'service',
-        'asked',
         'avoided',
-        'open_attempts',
         'attempts',
         'reply',
         'failure',
@@ -92,11 +99,8 @@
     def __init__(self, work: 'Work', service: str) -> None:
         self.work = work
         self.service = service
-        # Backend servers that got the request.
-        self.asked: list[str] = []
         # Backend servers that could not be reached.
         self.avoided: set[str] = set()
-        self.open_attempts: list[Attempt] = []
         # All attempts, in the order in which they started.
         self.attempts: list[Attempt] = []
         self.reply: Reply | None = None
@@ -106,6 +110,21 @@
         self.may_have_run = False
         self.waiting = False
 
+    @property
+    def open_attempts(self) -> list['Attempt']:
+        """Attempts that have not ended."""
+        return [attempt for attempt in self.attempts if attempt.is_open]
+
+    @property
+    def asked(self) -> list[str]:
+        """Backend servers that got the request, or may get it."""
+        refused = limits.CallOutcome.REFUSED_CONNECTION
+        return [
+            attempt.backend_id
+            for attempt in self.attempts
+            if attempt.outcome is not refused
+        ]
+
     @property
     def is_settled(self) -> bool:
         """Whether no further attempt is of use."""
@@ -123,6 +142,14 @@
             attempt.sent for attempt in self.open_attempts
         )
 
+    def ask(
+        self, backend_id: str, availability_zone: str, now: float
+    ) -> 'Attempt':
+        """Start an attempt at a backend server."""
+        attempt = Attempt(self, backend_id, availability_zone, now)
+        self.attempts.append(attempt)
+        return attempt
+
 
 class Attempt:
     """A request sent to one backend server."""
@@ -154,8 +181,17 @@
         # Whether the request may have left this host.
         self.sent = False
         self.ended_at: float | None = None
-        # Name of a `limits.CallOutcome`, empty while it is open.
-        self.outcome = ''
+        self.outcome: limits.CallOutcome | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the attempt has not ended."""
+        return self.outcome is None
+
+    def end(self, outcome: limits.CallOutcome, now: float) -> None:
+        """Note how and when the attempt ended."""
+        self.outcome = outcome
+        self.ended_at = now
 
 
 class Work:
--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -202,13 +202,17 @@
                 'at_ms': _ms(attempt.started_at - leg.work.started_at),
                 'took_ms': _ms(_end_of(attempt, now) - attempt.started_at),
                 'sent': attempt.sent,
-                'outcome': attempt.outcome or 'open',
+                'outcome': _outcome_of(attempt),
             }
             for attempt in leg.attempts
         ],
     }
 
 
+def _outcome_of(attempt: gathering.Attempt) -> str:
+    return 'open' if attempt.outcome is None else attempt.outcome.name.lower()
+
+
 def _result_of(leg: gathering.Leg) -> str:
     if leg.reply is not None:
         return ANSWERED
--- a/lab/plain.py
+++ b/lab/plain.py
@@ -37,7 +37,7 @@
         self, attempt: gathering.Attempt, reply: gathering.Reply, now: float
     ) -> None:
         """Take an answer; a failure is repeated at once."""
-        self._settle(attempt)
+        self._settle(attempt, reply.outcome, now)
         leg = attempt.leg
         leg.may_have_run |= not reply.not_run
         if reply.succeeded and not leg.is_settled:
@@ -53,7 +53,7 @@
         now: float,
     ) -> None:
         """Repeat at once."""
-        self._settle(attempt)
+        self._settle(attempt, outcome, now)
         leg = attempt.leg
         leg.may_have_run |= outcome is not limits.CallOutcome.REFUSED_CONNECTION
         self._repeat(leg, now)
@@ -61,7 +61,7 @@
 
     def cancelled(self, attempt: gathering.Attempt, now: float) -> None:
         """Free the place."""
-        self._settle(attempt)
+        self._settle(attempt, limits.CallOutcome.CANCELLED, now)
         self._pump(now)
 
     def changed(self, changes: Iterable[directory.Change], now: float) -> None:
@@ -84,23 +84,25 @@
             self._waiting.append(leg)
             return
         zone = self._directory.backends_by_id[backend_id].availability_zone
-        attempt = gathering.Attempt(leg, backend_id, zone, now)
-        leg.asked.append(backend_id)
-        leg.open_attempts.append(attempt)
         self._in_flight[backend_id] += 1
-        self._sends.append(attempt)
+        self._sends.append(leg.ask(backend_id, zone, now))
 
     def _repeat(self, leg: gathering.Leg, now: float) -> None:
         if leg.is_settled:
             return
         repeatable = leg.work.route.repeatable or not leg.may_run
-        if repeatable and len(leg.asked) < leg.work.route.attempts:
+        if repeatable and len(leg.attempts) < leg.work.route.attempts:
             self._place(leg, now)
         else:
             leg.work.give_up(leg, 'failed')
 
-    def _settle(self, attempt: gathering.Attempt) -> None:
-        attempt.leg.open_attempts.remove(attempt)
+    def _settle(
+        self,
+        attempt: gathering.Attempt,
+        outcome: limits.CallOutcome,
+        now: float,
+    ) -> None:
+        attempt.end(outcome, now)
         self._in_flight[attempt.backend_id] -= 1
 
     def _pump(self, now: float) -> None:
