Take signals in one place

shutdown and reloading each wired a signal handler to a socket pair, one of them without the case of a full socket. signals.received does it for both. The stop signals are ignored before the sockets close, not after.

--- a/cardamomflow/reloading.py
+++ b/cardamomflow/reloading.py
@@ -4,17 +4,14 @@
 takes while it runs is decided by the process.
 """
 
-import functools
 import signal
-import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import curio
 import logbook
-from curio import io as curio_io
 
-from cardamomflow import errors, events, settings
+from cardamomflow import errors, events, settings, signals
 
 # A file may change without a signal; looking at it costs one system call.
 RECHECK_S = 2.0
@@ -53,17 +50,12 @@
 
     async def run(self) -> None:
         """Read changed settings until cancelled."""
-        # A signal handler may only write to a socket, see `shutdown`.
-        reader, writer = socket.socketpair()
-        writer.setblocking(False)
-        signal.signal(signal.SIGHUP, functools.partial(_wake, writer))
-        with writer:
-            async with curio_io.Socket(reader) as woken:
-                while True:
-                    told = await curio.ignore_after(
-                        RECHECK_S, woken.recv, _WAKE_BYTES
-                    )
-                    self.check(is_told=told is not None)
+        async with signals.received(signal.SIGHUP) as woken:
+            while True:
+                told = await curio.ignore_after(
+                    RECHECK_S, woken.recv, _WAKE_BYTES
+                )
+                self.check(is_told=told is not None)
 
     def check(self, *, is_told: bool = False) -> None:
         """Read the file if it has changed or a signal told so."""
@@ -86,11 +78,3 @@
             in_force=taken.in_force,
             need_restart=taken.need_restart,
         )
-
-
-def _wake(writer: socket.socket, number: int, frame: object) -> None:
-    try:
-        writer.send(b'.')
-    except BlockingIOError:
-        # Earlier signals are not read yet; one reading covers this one too.
-        return
--- a/cardamomflow/shutdown.py
+++ b/cardamomflow/shutdown.py
@@ -1,43 +1,29 @@
 """Signals that stop a daemon; owns the signal handlers of the process."""
 
-import functools
 import signal
-import socket
 import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 import logbook
-from curio import io as curio_io
 
-from cardamomflow import events
+from cardamomflow import events, signals
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 async def wait_for_stop() -> None:
     """Return on the first SIGTERM or SIGINT; later ones are ignored."""
-    # curio 1.6 has no signal interface. A signal handler may only write to
-    # a socket: taking a lock in it could block the loop that it interrupts.
-    reader, writer = socket.socketpair()
     if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
         # The signal tells of new settings; by default it ends a process.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    with writer:
-        writer.setblocking(False)
-        for number in _STOP_SIGNALS:
-            signal.signal(number, functools.partial(_wake, writer))
-        async with curio_io.Socket(reader) as woken:
-            await woken.recv(1)
+    async with signals.received(*_STOP_SIGNALS) as woken:
+        await woken.recv(1)
         for handled in _STOP_SIGNALS:
             signal.signal(handled, signal.SIG_IGN)
 
 
-def _wake(writer: socket.socket, number: int, frame: object) -> None:
-    writer.send(b'.')
-
-
 class Supervisor:
     """Runs the background tasks of a daemon and notices their failure."""
 
