--- a/cardamomflow/platform/wire.py
+++ b/cardamomflow/platform/wire.py
@@ -9,7 +9,6 @@
 STAMP = b'x-response-seal'
 LOAD = b'x-server-load'
 NOT_RUN = b'x-not-executed'
-RETRY_AFTER = b'retry-after'
 PART_STAMPS = 'x-part-stamps'
 MISSING_PARTS = 'x-missing-parts'
 
--- a/cardamomflow/telemetry.py
+++ b/cardamomflow/telemetry.py
@@ -13,7 +13,7 @@
 from cardamomflow import measures
 
 PREFIX = 'cardamomflow_'
-_UNLISTED = f'{PREFIX}unlisted_events'
+_UNLISTED = measures.Measure('', 'unlisted_events', 'name', 'Not in the table.')
 
 _COUNTERS_BY_NAME = {measure.name: measure for measure in measures.COUNTERS}
 _GAUGES_BY_NAME = {measure.name: measure for measure in measures.GAUGES}
@@ -63,15 +63,13 @@
         """Return counters and gauges as the library takes them."""
         families: dict[str, metrics_core.Metric] = {}
         for name, total in self.totals_by_name.items():
-            measure, labels = find_counter(name)
-            exposed = f'{PREFIX}{measure.exposed}' if measure else _UNLISTED
-            label = measure.label if measure else 'name'
+            measure, labels = _find_counter(name)
             family = families.setdefault(
-                exposed,
+                measure.exposed,
                 metrics_core.CounterMetricFamily(
-                    exposed,
-                    measure.meaning if measure else 'Not in the table.',
-                    labels=[label] if label else [],
+                    f'{PREFIX}{measure.exposed}',
+                    measure.meaning,
+                    labels=[measure.label] if measure.label else [],
                 ),
             )
             family.add_metric(labels, total)
@@ -83,10 +81,11 @@
             )
 
 
-def find_counter(name: str) -> tuple[measures.Measure | None, list[str]]:
+def _find_counter(name: str) -> tuple[measures.Measure, list[str]]:
     """Return the measure of a counter and the values of its labels."""
     if name in _COUNTERS_BY_NAME:
         return _COUNTERS_BY_NAME[name], []
     head, _, label = name.rpartition('.')
-    measure = _COUNTERS_BY_NAME.get(head)
-    return measure, [label] if measure else [name]
+    if head in _COUNTERS_BY_NAME:
+        return _COUNTERS_BY_NAME[head], [label]
+    return _UNLISTED, [name]
