Select the lab's outcomes in one place

Report, plots and the benchmark each filtered outcomes by fleet, scenario and decisions, and a mean that nothing called did so a fourth time.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -33,13 +33,7 @@
     figures = []
     for deployment, scenario in experiments.by_scenario(outcomes):
         product, plain = (
-            [
-                outcome
-                for outcome in outcomes
-                if outcome.case.deployment == deployment
-                and outcome.case.scenario == scenario
-                and outcome.case.decisions == decisions
-            ]
+            experiments.select(outcomes, deployment, scenario, decisions)
             for decisions in DECISIONS
         )
         figures.extend(_results(deployment, scenario, product, plain))
--- a/lab/experiments.py
+++ b/lab/experiments.py
@@ -168,17 +168,24 @@
     }
 
 
-def mean_goodput(
-    outcomes: Iterable[Outcome], scenario: str, decisions: str
-) -> float:
-    """Return the mean over the seeds."""
-    found = [
-        outcome.goodput
+def select(
+    outcomes: Iterable[Outcome],
+    deployment: str,
+    scenario: str,
+    decisions: str,
+) -> list[Outcome]:
+    """Return the outcomes of all seeds of a scenario."""
+    wanted = (deployment, scenario, decisions)
+    return [
+        outcome
         for outcome in outcomes
-        if outcome.case.scenario == scenario
-        and outcome.case.decisions == decisions
+        if (
+            outcome.case.deployment,
+            outcome.case.scenario,
+            outcome.case.decisions,
+        )
+        == wanted
     ]
-    return sum(found) / len(found)
 
 
 def _outcome(document: dict[str, Any], decisions: str) -> Outcome:
--- a/lab/hosts.py
+++ b/lab/hosts.py
@@ -75,12 +75,10 @@
     def __init__(
         self,
         kind: deployments.Kind,
-        work: gathering.Work,
         ended: Callable[[gathering.Work, gathering.Ending], None],
     ) -> None:
         """Take a request that has just arrived."""
         self.kind = kind
-        self.work = work
         self.ended = ended
         self.calls_by_attempt: dict[gathering.Attempt, servers.Call] = {}
 
@@ -128,7 +126,7 @@
         """Take a request of a caller."""
         now = self._clock.now
         work = gathering.Work(route, services, None, now, patience_s)
-        self._requests[work] = Request(kind, work, ended)
+        self._requests[work] = Request(kind, ended)
         self.needed += len(services)
         self._decisions.start(work, now)
         self._send()
--- a/lab/reports.py
+++ b/lab/reports.py
@@ -19,30 +19,27 @@
     Goodput is the worth that callers got, of the worth that they asked for;
     a caller who got nothing, or an answer after the target, is not served.
     """
+    groups = list(_groups(outcomes, decisions))
     yield (
         '| deployment, scenario | decisions | goodput | at best'
         ' | attempts / needed |'
     )
     yield '| --- | --- | --- | --- | --- |'
-    for deployment, scenario in experiments.by_scenario(outcomes):
-        for each in decisions:
-            found = _of(outcomes, deployment, scenario, each)
-            yield (
-                f'| {deployment}, {scenario} | {each}'
-                f' | {_mean(one.goodput for one in found):.3f}'
-                f' | {_mean(one.best_goodput for one in found):.3f}'
-                f' | {_mean(one.extra_load for one in found):.3f} |'
-            )
+    for title, each, found in groups:
+        yield (
+            f'| {title} | {each}'
+            f' | {_mean(one.goodput for one in found):.3f}'
+            f' | {_mean(one.best_goodput for one in found):.3f}'
+            f' | {_mean(one.extra_load for one in found):.3f} |'
+        )
     yield ''
     yield (
         '| deployment, scenario | kind | decisions | in target | coverage'
         ' | p50 / p99 / p99.9 ms | not answered |'
     )
     yield '| --- | --- | --- | --- | --- | --- | --- |'
-    for deployment, scenario in experiments.by_scenario(outcomes):
-        for each in decisions:
-            found = _of(outcomes, deployment, scenario, each)
-            yield from _kind_rows(found, f'{deployment}, {scenario}', each)
+    for group in groups:
+        yield from _kind_rows(*group)
 
 
 def draw(
@@ -63,7 +60,7 @@
     for row, (deployment, scenario) in zip(axes, rows, strict=True):
         row[0].set_ylabel(f'{deployment}\n{scenario}')
         for each in decisions:
-            found = _of(outcomes, deployment, scenario, each)
+            found = experiments.select(outcomes, deployment, scenario, each)
             _draw_row(row, found, each)
     for axis, title in zip(
         axes[0],
@@ -99,8 +96,21 @@
     )
 
 
+def _groups(
+    outcomes: Sequence[experiments.Outcome], decisions: Sequence[str]
+) -> Iterator[tuple[str, str, list[experiments.Outcome]]]:
+    """Yield a title, the decisions, and the outcomes of all seeds."""
+    for deployment, scenario in experiments.by_scenario(outcomes):
+        for each in decisions:
+            yield (
+                f'{deployment}, {scenario}',
+                each,
+                experiments.select(outcomes, deployment, scenario, each),
+            )
+
+
 def _kind_rows(
-    found: Sequence[experiments.Outcome], title: str, decisions: str
+    title: str, decisions: str, found: Sequence[experiments.Outcome]
 ) -> Iterator[str]:
     for place, first in enumerate(found[0].kinds):
         kinds = [one.kinds[place] for one in found]
@@ -131,20 +141,5 @@
     )
 
 
-def _of(
-    outcomes: Sequence[experiments.Outcome],
-    deployment: str,
-    scenario: str,
-    decisions: str,
-) -> list[experiments.Outcome]:
-    return [
-        outcome
-        for outcome in outcomes
-        if outcome.case.deployment == deployment
-        and outcome.case.scenario == scenario
-        and outcome.case.decisions == decisions
-    ]
-
-
 def _mean(values: Iterable[float]) -> float:
     return statistics.fmean(values)
