Build the settings of a host, and open the store's doors, in one place

Two test worlds and the control bench each wrote out the settings of a host; the bench opened and shut the doors to its store twice each.

--- a/bench/hostcontrol.py
+++ b/bench/hostcontrol.py
@@ -101,9 +101,23 @@
 class _Door(webserver.WebServer):
     """The way of one zone to the store."""
 
-    def __init__(self, store: _CountedStore, port: int = 0) -> None:
+    def __init__(self, store: _CountedStore, port: int) -> None:
         super().__init__(_ADDRESS, port, store)
         self._store = store
+        self._serving: curio.Task
+
+    @classmethod
+    async def opened(cls, store: _CountedStore, port: int = 0) -> '_Door':
+        """Return a door that is served."""
+        door = cls(store, port)
+        door._serving = await curio.spawn(door.serve)
+        return door
+
+    async def shut(self) -> None:
+        """Serve no more, and close all connections."""
+        await self._serving.cancel()
+        for connection in self.open_connections():
+            await connection.close()
 
     def create_connection(self, sock: Any) -> serverconnection.Connection:
         return super().create_connection(_Sock(sock, self._store))
@@ -139,7 +153,7 @@
         self._count = count
         self._folder = pathlib.Path(folder)
         self.store = _CountedStore()
-        self._doors: list[tuple[_Door, curio.Task]] = []
+        self._doors: list[_Door] = []
         self._processes: list[psutil.Popen] = []
 
     async def open(self) -> None:
@@ -155,7 +169,7 @@
             ),
         )
         for _ in range(ZONES):
-            await self._open_door(0)
+            self._doors.append(await _Door.opened(self.store))
 
     def change(self, number: int, sequence: int) -> None:
         """Change the entry of a backend server."""
@@ -174,16 +188,13 @@
 
     async def cut(self, zone: int) -> int:
         """Cut a zone from the store; returns its port."""
-        door, serving = self._doors[zone]
-        await serving.cancel()
-        for connection in door.open_connections():
-            await connection.close()
+        door = self._doors[zone]
+        await door.shut()
         return door.port
 
     async def reconnect(self, zone: int, port: int) -> None:
         """Let a zone reach the store again."""
-        door = _Door(self.store, port)
-        self._doors[zone] = (door, await curio.spawn(door.serve))
+        self._doors[zone] = await _Door.opened(self.store, port)
 
     def cpu_s(self) -> float:
         """Return the processor time of all hosts so far."""
@@ -203,31 +214,17 @@
 
     async def close(self) -> None:
         """Close the doors."""
-        for door, serving in self._doors:
-            await serving.cancel()
-            for connection in door.open_connections():
-                await connection.close()
-
-    async def _open_door(self, port: int) -> None:
-        door = _Door(self.store, port)
-        self._doors.append((door, await curio.spawn(door.serve)))
+        for door in self._doors:
+            await door.shut()
 
     def _start_host(self, number: int) -> None:
         zone = number % ZONES
         path = self._folder / f'{number}.yaml'
         path.write_text(
             yaml.safe_dump(
-                {
-                    'process_id': f'host-{number}',
-                    'host': {
-                        'id': f'host-{number}',
-                        'region': 'r',
-                        'availability_zone': f'z{zone}',
-                    },
-                    'callers': f'{_ADDRESS}:0',
-                    'readiness': f'{_ADDRESS}:0',
-                    'store': f'{_ADDRESS}:{self._doors[zone][0].port}',
-                }
+                users.host_settings(
+                    f'host-{number}', f'z{zone}', self._doors[zone].port
+                )
             )
         )
         with self._log(number).open('wb') as log:
--- a/standins/users.py
+++ b/standins/users.py
@@ -233,6 +233,20 @@
         )
 
 
+def host_settings(
+    host_id: str, zone: str, store_port: int, **fields: Any
+) -> dict[str, Any]:
+    """Return the settings of a host that uses the stand-in's store."""
+    return {
+        'process_id': host_id,
+        'host': {'id': host_id, 'region': 'r', 'availability_zone': zone},
+        'callers': '127.0.0.1:0',
+        'readiness': '127.0.0.1:0',
+        'store': f'127.0.0.1:{store_port}',
+        **fields,
+    }
+
+
 def route_document(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
     """Return a route as the operator writes it."""
     return {
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -56,15 +56,14 @@
 
     async def start_host(self, store_port):
         """Start the host in this loop."""
-        settings = {
-            'process_id': 'host-1',
-            'host': {'id': 'host-1', 'region': 'r', 'availability_zone': 'z1'},
-            'callers': '127.0.0.1:0',
-            'readiness': '127.0.0.1:0',
-            'retry_share': 1.0,
-            'retry_burst': 100,
-            'log': {'level': 'error'},
-        }
+        settings = users.host_settings(
+            'host-1',
+            'z1',
+            store_port,
+            retry_share=1.0,
+            retry_burst=100,
+            log={'level': 'error'},
+        )
         self._store_client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
         parts = daemons.create_host(
             context.create(settings), self._store_client
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -15,6 +15,7 @@
 
 from cardamomflow import errors, logoutput, requestlog
 from cardamomflow.platform import wire
+from standins import users
 from tests import hostworld, loops
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -31,14 +32,9 @@
         self._folder = tempfile.TemporaryDirectory()
 
     async def start_host(self, store_port):
-        settings = {
-            'process_id': 'host-1',
-            'host': {'id': 'host-1', 'region': 'r', 'availability_zone': 'z1'},
-            'callers': '127.0.0.1:0',
-            'readiness': '127.0.0.1:0',
-            'store': f'127.0.0.1:{store_port}',
-            'stop_within_s': STOP_WITHIN_S,
-        }
+        settings = users.host_settings(
+            'host-1', 'z1', store_port, stop_within_s=STOP_WITHIN_S
+        )
         self.path = pathlib.Path(self._folder.name) / 'host.yaml'
         self.path.write_text(yaml.safe_dump(settings))
         self.log = self.path.with_suffix('.log')
