Let tests of outages wait until the host has noticed them

Cause: two tests took a platform that was not heard for 0.2 s for an outage that the host knows. A waiting watch is silent for up to 2 s in good health, so the store could return before the host had asked it in vain, and entries removed meanwhile counted as gone: 503 in place of 200.

Change: they wait until the directory holds back lapsed entries. What they check is the same.

Ruled out: the hand-over of parts in the work tree, which this host has no peers for; an entry lapses after seconds of silence, and the watch ends within 3 s.

--- a/tests/test_store_troubles.py
+++ b/tests/test_store_troubles.py
@@ -121,12 +121,14 @@
         async def scenario(world):
             other = f'{wire.HOSTS_PREFIX}other'
             world.store.put(other, '')
-            await loops.until(lambda: len(world.follower._host_ids) == 2)
+            await loops.until(lambda: len(world.follower._members_by_id) == 2)
             world.store.remove(other)
             world.store.put(f'{wire.HOSTS_PREFIX}third', '')
             world.store.forget_history()
             await loops.until(
-                lambda: world.follower._host_ids == {'host-1', 'third'}
+                lambda: (
+                    set(world.follower._members_by_id) == {'host-1', 'third'}
+                )
             )
             return True
 
@@ -141,7 +143,7 @@
             for number in range(40):
                 world.store.put(f'{wire.HOSTS_PREFIX}other-{number}', '')
                 await curio.sleep(0.01)
-            await loops.until(lambda: len(world.follower._host_ids) > 40)
+            await loops.until(lambda: len(world.follower._members_by_id) > 40)
             return calls['kv-watch'] - before
 
         self.assertLess(hostworld.play(scenario), 6)
@@ -151,8 +153,9 @@
 
         async def scenario(world):
             world.store.is_down = True
+            listed = world.host.directory
             await loops.until(
-                lambda: world.host.platform_heard_at < world.host._clock() - 0.2
+                lambda: listed._outage_until > world.host._clock()
             )
             for backend_id in ('a0', 'a1'):
                 world.store.remove(f'{wire.BACKENDS_PREFIX}{backend_id}')
@@ -171,8 +174,9 @@
 
         async def scenario(world):
             world.store.is_down = True
+            listed = world.host.directory
             await loops.until(
-                lambda: world.host.platform_heard_at < world.host._clock() - 0.2
+                lambda: listed._outage_until > world.host._clock()
             )
             world.store.remove(f'{wire.BACKENDS_PREFIX}a0')
             world.store.is_down = False
