--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -95,7 +95,9 @@
     for number in range(REQUESTS):
         now = float(number)
         started = time.process_time()
-        work = gathering.Work(route, route.shards, None, now, 2.0)
+        work = gathering.Work(
+            route, route.shards, None, now, gathering.Waiting(2.0)
+        )
         dispatcher.start(work, now)
         sends = dispatcher.take_sends()
         for attempt in sends[int(partial) :]:
--- a/cardamomflow/aggregatorlinks.py
+++ b/cardamomflow/aggregatorlinks.py
@@ -278,6 +278,32 @@
         """Stop waiting for an answer."""
         self._waiters_by_link.get(link, {}).pop(attempt_id, None)
 
+    async def end_attempt(
+        self,
+        aggregator_id: str,
+        attempt_id: int,
+        told: wire_pb2.Envelope | None = None,
+    ) -> None:
+        """Wait no longer for an attempt.
+
+        Parameters
+        ----------
+        aggregator_id : str
+        attempt_id : int
+        told : wire_pb2.Envelope or None
+            Sent to the aggregator, if there is a link.
+        """
+        link = self._link_to(aggregator_id)
+        if link is None:
+            return
+        self.forget(link, attempt_id)
+        if told is None:
+            return
+        try:
+            await link.post(told)
+        except errors.ConnectFailed:
+            return
+
     def is_awaited(self, link: WireLink) -> bool:
         """Tell whether a request waits for an answer over a link."""
         return bool(self._waiters_by_link.get(link))
@@ -293,7 +319,9 @@
             await ended.set()
         kind = message.WhichOneof('body')
         match kind:
-            case 'query_answer' | 'operation_answer' | 'refusal':
+            case (
+                'query_answer' | 'operation_answer' | 'parts_answer' | 'refusal'
+            ):
                 await self._deliver(link, getattr(message, kind))
             case 'holdings':
                 self._holdings_changed(message.holdings)
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -20,6 +20,7 @@
     logoutput,
     metricspage,
     operations,
+    peering,
     reloading,
     requestlog,
     shutdown,
@@ -154,6 +155,9 @@
     tasks : tuple of callables
         Run until the process ends.
     follower : following.Follower
+    peers : LinkServer or None
+        Takes requests for parts; listens already.
+    answerer : peering.Answerer
     """
 
     program: hosting.Host
@@ -161,6 +165,8 @@
     readiness: webserver.WebServer
     tasks: tuple[Callable[[], Awaitable[Any]], ...]
     follower: following.Follower
+    peers: LinkServer | None
+    answerer: peering.Answerer
 
 
 def create_host(around: context.Context, store: sources.Source) -> HostParts:
@@ -176,6 +182,10 @@
     program.zones.turn_away = server.turn_away
     program.bounds_changed = functools.partial(setattr, server, 'bounds')
     follower = following.Follower(store, program.directory, program, around)
+    answerer = peering.Answerer(around, program)
+    peers = None
+    if 'peers' in settings:
+        peers = LinkServer(*authorities.split(settings['peers']), answerer)
     return HostParts(
         program,
         server,
@@ -183,6 +193,8 @@
         (
             program.transport.sweep,
             program.zones.run,
+            program.asker.links.run,
+            *(() if peers is None else (peers.serve,)),
             *_log_tasks(around, program.request_log),
             follower.follow,
             follower.expire_backends,
@@ -190,6 +202,8 @@
             *metricspage.tasks(around, around.settings.get('metrics')),
         ),
         follower,
+        peers,
+        answerer,
     )
 
 
@@ -216,6 +230,7 @@
     around.journal.info(events.Event.STOPPING)
     parts.program.stopping = True
     parts.callers.announce_stop()
+    await parts.answerer.announce_stop()
     await parts.follower.leave()
     # The platform takes two refusals, a second apart, to send callers away.
     await curio.sleep(HOST_DRAIN_DELAY_S)
--- /dev/null
+++ b/cardamomflow/delegation.py
@@ -0,0 +1,165 @@
+"""Parts of queries that other hosts ask for; sans-I/O.
+
+Owns which parts of a query are handed to which host, and when a host that
+does not answer is given up. A host that was silent gets nothing for a while.
+"""
+
+import itertools
+import math
+from collections.abc import Container
+
+from cardamomflow import gathering, ownership
+
+# A query over fewer services costs less when one host asks them all.
+MINIMUM_SERVICES = 24
+# Share of the target after which a host that gave no sign is given up. Its
+# first sign precedes its hedges, which start at 0.3 of the target.
+SILENCE_SHARE = 0.55
+# A sign may wait unread in this process, which was busy or stopped itself.
+SECOND_LOOK_S = 0.005
+# Time without new parts for a host that was silent: a stopped process is
+# seldom back sooner, and its parts have other owners.
+AVOIDED_S = 2.0
+
+
+class Handover:
+    """Parts of one query that another host is asked for."""
+
+    __slots__ = (
+        'attempt_id',
+        'host_id',
+        'legs',
+        'heard',
+        'silent_at',
+        'suspected',
+        'open',
+    )
+
+    def __init__(
+        self,
+        attempt_id: int,
+        host_id: str,
+        legs: list[gathering.Leg],
+    ) -> None:
+        """Take the legs of one host; nothing was sent yet."""
+        self.attempt_id = attempt_id
+        self.host_id = host_id
+        self.legs = legs
+        self.heard = False
+        # When the host counts as silent.
+        self.silent_at = math.inf
+        self.suspected = False
+        self.open = True
+        for leg in legs:
+            leg.handover = self
+
+    @property
+    def work(self) -> gathering.Work:
+        """The query that the parts belong to."""
+        return self.legs[0].work
+
+    def unsettled(self) -> list[gathering.Leg]:
+        """Return the legs for which this host is still waited for."""
+        return [
+            leg
+            for leg in self.legs
+            if leg.handover is self and not leg.is_settled
+        ]
+
+
+class _Usable(Container[str]):
+    """Hosts that can be reached and were not silent lately."""
+
+    def __init__(
+        self, reachable: Container[str], avoided: Container[str]
+    ) -> None:
+        self._reachable = reachable
+        self._avoided = avoided
+
+    def __contains__(self, host_id: object) -> bool:
+        return host_id in self._reachable and host_id not in self._avoided
+
+
+class Delegation:
+    """Handovers of one host."""
+
+    def __init__(self, owners: ownership.Ownership, own_id: str) -> None:
+        """Start without any handover."""
+        self._owners = owners
+        self._own_id = own_id
+        self._attempt_ids = itertools.count(1)
+        self._avoided_until: dict[str, float] = {}
+
+    def start(
+        self, work: gathering.Work, reachable: Container[str], now: float
+    ) -> list[Handover]:
+        """Return what to hand over; this host asks for the other parts."""
+        if len(work.legs) < MINIMUM_SERVICES:
+            return []
+        legs_by_service = {leg.service: leg for leg in work.legs}
+        services_by_host = self._owners.divide(
+            list(legs_by_service), _Usable(reachable, self._avoided(now))
+        )
+        services_by_host.pop(self._own_id, None)
+        work.handovers = [
+            Handover(
+                next(self._attempt_ids),
+                host_id,
+                [legs_by_service[service] for service in services],
+            )
+            for host_id, services in services_by_host.items()
+        ]
+        return work.handovers
+
+    def sent(self, work: gathering.Work, now: float) -> None:
+        """Note that all messages were sent.
+
+        A busy host takes as long to send them as some owners to answer.
+        """
+        for handover in work.handovers:
+            handover.silent_at = now + work.route.target_s * SILENCE_SHARE
+
+    def next_look(self, work: gathering.Work) -> float:
+        """Return when a silent host has to be given up."""
+        return min(
+            (one.silent_at for one in work.handovers if _is_waited_for(one)),
+            default=work.deadline,
+        )
+
+    def take_silent(self, work: gathering.Work, now: float) -> list[Handover]:
+        """Give up hosts without a sign of life, at the second look."""
+        silent = []
+        for handover in work.handovers:
+            if not _is_waited_for(handover) or now < handover.silent_at:
+                continue
+            if handover.suspected:
+                self.lost(handover, now)
+                silent.append(handover)
+            else:
+                handover.suspected = True
+                handover.silent_at = now + SECOND_LOOK_S
+        return silent
+
+    def heard(self, handover: Handover) -> None:
+        """Note an answer of a host."""
+        handover.heard = True
+        self._avoided_until.pop(handover.host_id, None)
+
+    def lost(self, handover: Handover, now: float) -> None:
+        """Note that a host will not answer."""
+        handover.open = False
+        self._avoided_until[handover.host_id] = now + AVOIDED_S
+
+    def _avoided(self, now: float) -> set[str]:
+        over = [
+            host_id
+            for host_id, until in self._avoided_until.items()
+            if until <= now
+        ]
+        for host_id in over:
+            self._avoided_until.pop(host_id)
+        return set(self._avoided_until)
+
+
+def _is_waited_for(handover: Handover) -> bool:
+    return handover.open and not handover.heard
--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -5,7 +5,7 @@
 time, in which its backend server is listed again if it lives.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from cardamomflow import register
@@ -52,6 +52,19 @@
             if self.backends_by_id[backend_id].availability_zone == zone
         }
 
+    def zones_of_most(self, services: Collection[str]) -> frozenset[str]:
+        """Return the zones with backend servers of most of some services."""
+        services_by_zone: dict[str, set[str]] = {}
+        for service in services:
+            for backend_id in self.usable(service):
+                zone = self.backends_by_id[backend_id].availability_zone
+                services_by_zone.setdefault(zone, set()).add(service)
+        return frozenset(
+            zone
+            for zone, present in services_by_zone.items()
+            if 2 * len(present) > len(services)
+        )
+
     def outage(self, now: float) -> None:
         """Note that the platform does not answer, or has just returned."""
         self._outage_until = now + LAPSE_HOLD_S
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from cardamomflow import (
+    delegation,
     directory,
     extraload,
     gathering,
@@ -33,29 +34,6 @@
 _MS_PER_S = 1000
 
 
-class Sharing(NamedTuple):
-    """What all hosts share.
-
-    Attributes
-    ----------
-    hosts : int
-        Hosts that are known, with this one.
-    extra_share : float
-        Further attempts for each first one at a service.
-    extra_burst : float
-        Further attempts of all hosts in a window, beside the share.
-    """
-
-    hosts: int
-    extra_share: float
-    extra_burst: float
-
-    @property
-    def burst_of_host(self) -> float:
-        """Further attempts of this host in a window, beside the share."""
-        return self.extra_burst / self.hosts
-
-
 class _Waiting(NamedTuple):
     rank: rules.Rank
     sequence: int
@@ -82,27 +60,26 @@
                 extra_load_share=0,
             )
         )
-        self._sharing = Sharing(1, 0, 0)
         self.occupancy = occupancy.Occupancy()
         self.reachability = reachability.Reachability()
-        self._extra_by_service: dict[str, extraload.ExtraLoad] = {}
+        self._budgets = extraload.Budgets()
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
+        self.handed_over: frozenset[str] = frozenset()
         self._sequence = itertools.count()
         self._sends: list[gathering.Attempt] = []
 
     def apply(self, table: routes.RouteTable) -> None:
         """Take the routes of a new revision."""
-        self.occupancy.apply(table.connections_by_service)
-        services = table.services()
-        for service in self._extra_by_service.keys() - services:
-            self._extra_by_service.pop(service)
+        self.handed_over = table.services_of_queries(
+            delegation.MINIMUM_SERVICES
+        )
+        self.occupancy.apply(table.connections_by_service, self.handed_over)
+        self._budgets.apply(table.services(), self.handed_over)
 
-    def share(self, sharing: Sharing) -> None:
+    def share(self, sharing: extraload.Sharing) -> None:
         """Take a changed number of hosts."""
-        self._sharing = sharing
-        self.occupancy.share(sharing.hosts)
-        for budget in self._extra_by_service.values():
-            budget.resize(sharing.extra_share, sharing.burst_of_host)
+        self.occupancy.share(sharing.hosts, sharing.owners)
+        self._budgets.share(sharing)
 
     def can_serve(self, services: Sequence[str], needed: int) -> bool:
         """Tell whether enough services have a zone that answers."""
@@ -130,8 +107,31 @@
                 work.give_up(unserved, 'no_backend_server')
             return
         for leg in work.legs:
-            self._extra(leg.service).first_sent()
-            self._place(leg, now)
+            if leg.handover is None:
+                self._budgets.of(leg.service).first_sent()
+                self._place(leg, now)
+
+    def take_back(
+        self, legs: Iterable[gathering.Leg], now: float, *, was_sent: bool
+    ) -> None:
+        """Ask for parts that another host was asked for in vain.
+
+        Parameters
+        ----------
+        legs : iterable of gathering.Leg
+        now : float
+        was_sent : bool
+            Whether the other host may have asked one backend server.
+        """
+        for leg in legs:
+            leg.handover = None
+            if was_sent:
+                leg.may_have_run = True
+                leg.attempts_elsewhere = 1
+                self._repeat(leg, 'no_answer_of_host', now)
+            else:
+                self._budgets.of(leg.service).first_sent()
+                self._place(leg, now)
 
     def tick(self, work: gathering.Work, now: float) -> float:
         """Hedge what is overdue; return when to look again."""
@@ -249,7 +249,7 @@
             return
         if leg.work.route.repeatable or not leg.may_run:
             candidates = self._candidates(leg, now)
-            if candidates and self._extra(leg.service).withdraw():
+            if candidates and self._budgets.of(leg.service).withdraw():
                 if not self._send(leg, candidates, now):
                     self._wait(leg)
                 return
@@ -258,7 +258,7 @@
     def _hedge(self, leg: gathering.Leg, now: float) -> None:
         candidates = self._candidates(leg, now)
         free = self.occupancy.free_for_hedge(leg.service, candidates)
-        if free and self._extra(leg.service).withdraw():
+        if free and self._budgets.of(leg.service).withdraw():
             self._send_to_one(leg, free, now)
 
     def _send(
@@ -294,7 +294,7 @@
     def _candidates(self, leg: gathering.Leg, now: float) -> list[str]:
         """Return whom a leg may ask, without those known to be away."""
         asked = leg.asked
-        if len(asked) >= leg.work.route.attempts:
+        if len(asked) + leg.attempts_elsewhere >= leg.work.route.attempts:
             return []
         listed = [
             backend_id
@@ -305,15 +305,6 @@
         ]
         return self.occupancy.reachable(listed, now)
 
-    def _extra(self, service: str) -> extraload.ExtraLoad:
-        budget = self._extra_by_service.get(service)
-        if budget is None:
-            budget = extraload.ExtraLoad(
-                self._sharing.extra_share, self._sharing.burst_of_host
-            )
-            self._extra_by_service[service] = budget
-        return budget
-
     def _hedge_delay_s(self, route: routes.Route) -> float:
         latest_s = route.target_s * LATEST_HEDGE_SHARE
         return min(self._hedges.delay_s(route.name), latest_s)
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -39,4 +39,5 @@
     REQUEST_ENDED = 'request ended'
     REQUEST_REFUSED = 'request refused'
     REQUESTS_SUMMARISED = 'requests summarised'
+    HANDOVER_TAKEN_BACK = 'handover taken back'
     DISPATCH_FAILED = 'dispatcher failed'
--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -6,6 +6,9 @@
 hosts that are known.
 """
 
+from collections.abc import Callable, Container
+from typing import NamedTuple
+
 from cardamomflow import tokens
 
 # Kept back for requests that were sent but did not arrive, and for a host
@@ -13,6 +16,46 @@
 SAFETY = 0.8
 
 
+def _owns_nothing(_: str) -> bool:
+    return False
+
+
+class Sharing(NamedTuple):
+    """What all hosts share.
+
+    Attributes
+    ----------
+    hosts : int
+        Hosts that are known, with this one.
+    extra_share : float
+        Further attempts for each first one at a service.
+    extra_burst : float
+        Further attempts of all hosts in a window, beside the share.
+    owners : int
+        Hosts that ask a service whose parts are handed over; 0 when none are.
+    owns : callable
+        Tells whether this host is one of them.
+    """
+
+    hosts: int
+    extra_share: float
+    extra_burst: float
+    owners: int = 0
+    owns: Callable[[str], bool] = _owns_nothing
+
+    def burst(self, service: str, *, is_handed_over: bool) -> float:
+        """Return the further attempts of this host beside the share.
+
+        The owners of a service get half of those of all hosts. The others
+        keep theirs for parts whose owner does not answer.
+        """
+        equal = self.extra_burst / self.hosts
+        if not is_handed_over or not self.owners:
+            return equal
+        of_owner = self.extra_burst / self.owners if self.owns(service) else 0
+        return (equal + of_owner) / 2
+
+
 class ExtraLoad:
     """Tokens of one service."""
 
@@ -46,5 +89,40 @@
         return self._bucket.withdraw()
 
 
+class Budgets:
+    """Tokens of one host by service."""
+
+    def __init__(self) -> None:
+        """Start without further attempts."""
+        self._sharing = Sharing(1, 0, 0)
+        self._handed_over: Container[str] = frozenset()
+        self._by_service: dict[str, ExtraLoad] = {}
+
+    def apply(self, services: set[str], handed_over: Container[str]) -> None:
+        """Take the services that are asked, and those that owners ask."""
+        self._handed_over = handed_over
+        for service in self._by_service.keys() - services:
+            self._by_service.pop(service)
+
+    def share(self, sharing: Sharing) -> None:
+        """Take another part of the bounds."""
+        self._sharing = sharing
+        for service, budget in self._by_service.items():
+            budget.resize(sharing.extra_share, self._burst(service))
+
+    def of(self, service: str) -> ExtraLoad:
+        """Return the budget of a service."""
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = ExtraLoad(self._sharing.extra_share, self._burst(service))
+            self._by_service[service] = budget
+        return budget
+
+    def _burst(self, service: str) -> float:
+        return self._sharing.burst(
+            service, is_handed_over=service in self._handed_over
+        )
+
+
 def _capacity(burst: float) -> float:
     return max(1.0, burst * SAFETY)
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -9,7 +9,15 @@
 
 import curio
 
-from cardamomflow import context, directory, errors, events, routes, sources
+from cardamomflow import (
+    context,
+    directory,
+    errors,
+    events,
+    ownership,
+    routes,
+    sources,
+)
 
 # A connection may fall silent for good, also in an outage. A change has to be
 # in force 4 s after that at the latest, so a silent watch ends within 3 s, with
@@ -50,6 +58,10 @@
     async def hosts_counted(self, hosts: int) -> None:
         """Take the number of hosts."""
 
+    @abc.abstractmethod
+    async def members_listed(self, members: Iterable[ownership.Member]) -> None:
+        """Take the hosts that can be reached by others."""
+
 
 class Follower:
     """Reads and watches the platform for one host."""
@@ -72,8 +84,8 @@
         self._revisions_by_id: dict[str, int] = {}
         self._lost: set[str] = set()
         self._leaving = curio.Event()
-        self._own_id = around.settings['host']['id']
-        self._host_ids: set[str] = set()
+        self._own = ownership.own_member(around.settings)
+        self._members_by_id: dict[str, ownership.Member | None] = {}
 
     async def follow(self) -> None:
         """Keep routes and backend servers up to date until cancelled."""
@@ -108,7 +120,7 @@
         await self._wait(self._random.uniform(0, ANNOUNCE_INTERVAL_S))
         while not self._leaving.is_set():
             try:
-                await self._source.announce_host(self._own_id, HOST_TTL_S)
+                await self._source.announce_host(self._own, HOST_TTL_S)
             except errors.FlowError as error:
                 self._note_lost('hosts', error)
             else:
@@ -133,7 +145,7 @@
         if revision is None:
             news = await self._source.read()
             await self._take_list(news.entries)
-            self._host_ids.clear()
+            self._members_by_id.clear()
         else:
             # A store that failed has to show soon whether it is back.
             wait_s = PROBE_WAIT_S if 'store' in self._lost else WATCH_WAIT_S
@@ -150,10 +162,16 @@
         """Count the hosts, this one among them."""
         for host in hosts:
             if host.present:
-                self._host_ids.add(host.host_id)
+                self._members_by_id[host.host_id] = host.member
             else:
-                self._host_ids.discard(host.host_id)
-        await self._listener.hosts_counted(len(self._host_ids | {self._own_id}))
+                self._members_by_id.pop(host.host_id, None)
+        listed = self._members_by_id
+        await self._listener.hosts_counted(
+            len(listed.keys() | {self._own.host_id})
+        )
+        await self._listener.members_listed(
+            member for member in listed.values() if member is not None
+        )
 
     async def _take_routes(self, table: routes.RouteTable | None) -> None:
         if table is None or table.revision <= self._routes_revision:
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -70,6 +70,24 @@
         return limits.CallOutcome.FAILED
 
 
+class Waiting(NamedTuple):
+    """How long the caller of a request waits.
+
+    Attributes
+    ----------
+    left_s : float
+        Time from now on, at most.
+    spent_s : float
+        Time before the request arrived, which counts for its target.
+    sending_s : float
+        Time that the answer takes on the link of this host.
+    """
+
+    left_s: float
+    spent_s: float = 0
+    sending_s: float = 0
+
+
 class Ending(enum.Enum):
     """How a request ended."""
 
@@ -94,6 +112,8 @@
         'reason',
         'may_have_run',
         'waiting',
+        'handover',
+        'attempts_elsewhere',
     )
 
     def __init__(self, work: 'Work', service: str) -> None:
@@ -109,6 +129,10 @@
         self.reason: str | None = None
         self.may_have_run = False
         self.waiting = False
+        # Set while another host asks for this part.
+        self.handover: Any = None
+        # Backend servers that another host may have asked before.
+        self.attempts_elsewhere = 0
 
     @property
     def open_attempts(self) -> list['Attempt']:
@@ -138,6 +162,8 @@
 
         A request that was sent before a partition may arrive after its end.
         """
+        if self.handover and self.reply is None and self.reason is None:
+            return True
         return self.may_have_run or any(
             attempt.sent for attempt in self.open_attempts
         )
@@ -214,7 +240,7 @@
         services: tuple[str, ...],
         message: Any,
         started_at: float,
-        patience_s: float,
+        waiting: Waiting,
     ) -> None:
         """Take a request.
 
@@ -225,16 +251,19 @@
             Services that each owe a part.
         message : Any
         started_at : float
-        patience_s : float
-            Time that the caller waits at most.
+        waiting : Waiting
         """
         self.route = route
         self.message = message
         self.started_at = started_at
-        allowed_s = min(patience_s, route.timeout_s)
+        allowed_s = min(waiting.left_s, route.timeout_s)
         self.deadline = started_at + _less(allowed_s, DEADLINE_RESERVE_S)
-        self.answer_at = started_at + _less(route.target_s, TARGET_RESERVE_S)
+        target_s = route.target_s - waiting.spent_s - waiting.sending_s
+        target_s = max(0, target_s)
+        self.answer_at = started_at + _less(target_s, TARGET_RESERVE_S)
         self.legs = [Leg(self, service) for service in services]
+        # Parts that other hosts ask for.
+        self.handovers: list[Any] = []
         self.ended = False
         self.answered = 0
         self.failed = 0
@@ -250,6 +279,10 @@
             return True
         return now >= self.deadline
 
+    def has_news(self, now: float) -> bool:
+        """Whether something has to be told to the one who asked."""
+        return self.is_finished(now)
+
     def open_legs(self) -> Iterator[Leg]:
         """Yield the legs that may still be answered."""
         return (leg for leg in self.legs if not leg.is_settled)
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -8,24 +8,25 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import curio
-
 from cardamomflow import (
     context,
     directory,
-    dispatching,
     errors,
     events,
+    extraload,
     following,
     gathering,
-    limits,
+    ownership,
+    parts,
+    peering,
     reloading,
     requestlog,
     routes,
+    running,
     serverconnection,
     zonewatch,
 )
-from cardamomflow.platform import backendlink, front
+from cardamomflow.platform import front
 
 # The number of hosts before any was counted: a small fleet's.
 ASSUMED_HOSTS = 8
@@ -36,6 +37,12 @@
 # Retry-After of a request that no backend server can take. Callers wait at
 # most a third of the time that they have left.
 COME_BACK_S = 0.25
+# Of an answer, for each part: a signature of the users' platform has 30 to 40
+# characters, and a comma follows.
+PART_BYTES = 40
+DEFAULT_LINK_MBPS = 1000.0
+_BITS_PER_BYTE = 8
+_BITS_PER_MBIT = 1_000_000
 _MS = 1000
 # The platform takes a host that is not ready out of its rotation after two
 # answers, a second apart.
@@ -49,7 +56,7 @@
 )
 
 
-class Host(front.Tier, backendlink.Events, following.Listener):
+class Host(front.Tier, following.Listener, peering.PartsServer):
     """State of a host process."""
 
     def __init__(self, around: context.Context) -> None:
@@ -62,15 +69,10 @@
         self._clock = around.clock
         self._metrics = around.metrics
         self._table: routes.RouteTable | None = None
-        self._dispatcher = dispatching.Dispatcher(
-            self.directory,
-            around.settings['host']['availability_zone'],
-            around.random,
-        )
-        self.transport = backendlink.Transport(
-            self.directory.backends_by_id, self, around.clock
-        )
-        self._changed_by_work: dict[gathering.Work, curio.Event] = {}
+        self.runs = running.Runs(around, self.directory)
+        self.transport = self.runs.transport
+        self.asker = self.runs.asker
+        self._dispatcher = self.runs.dispatcher
         self.zones = zonewatch.ZoneWatch(
             around, self.directory, self._dispatcher, self.transport
         )
@@ -105,7 +107,7 @@
         for change in changes:
             if not change.usable:
                 await self.transport.close_idle(change.backend_id)
-        await self._send()
+        await self.runs.send()
 
     def platform_heard(self) -> None:
         """Note that the platform answered."""
@@ -127,6 +129,12 @@
             self._hosts_until = now + FEWER_HOSTS_S
             self._share_with(hosts)
 
+    async def members_listed(self, members: Iterable[ownership.Member]) -> None:
+        """Take the hosts that parts of queries can be handed to."""
+        homes = self.directory.zones_of_most(self._dispatcher.handed_over)
+        if await self.asker.apply(members, homes):
+            self._share_with(self._hosts)
+
     def take_settings(self, document: Any) -> reloading.Taken:
         """Use changed budgets; other keys wait for the next start."""
         changed = {
@@ -171,7 +179,7 @@
         return found
 
     async def answer(
-        self, route: routes.Route, message: Any, patience_s: float
+        self, route: routes.Route, message: Any, waiting: gathering.Waiting
     ) -> gathering.Work:
         """Return an ended request that has its answer."""
         work = gathering.Work(
@@ -179,16 +187,9 @@
             route.services(self._context.random),
             message,
             self._clock(),
-            patience_s,
+            waiting._replace(sending_s=self._sending_s(route)),
         )
-        changed = curio.Event()
-        self._changed_by_work[work] = changed
-        try:
-            await self._run(work, changed)
-        finally:
-            self._changed_by_work.pop(work)
-            ending = work.end()
-            await self._cancel_if_left(work)
+        ending = await self.runs.run(work)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
         self._metrics.observe(
             'host.latency', route.rank.label, self._clock() - work.started_at
@@ -197,13 +198,34 @@
         _check(work, ending, self._come_back_s())
         return work
 
+    async def wake(self, work: gathering.Work) -> None:
+        """Look at a request that nobody waits for any more."""
+        await self.runs.wake(work)
+
+    async def serve_parts(
+        self, work: parts.SharedWork, report: peering.Report, asked_by: str
+    ) -> None:
+        """Ask for parts on behalf of another host."""
+        ending = await self.runs.run_parts(work, report)
+        self._log_request(work, ending, asked_by=asked_by)
+
+    def _sending_s(self, route: routes.Route) -> float:
+        """Return how long the answer of a query takes on the own link."""
+        bits = len(route.shards) * PART_BYTES * _BITS_PER_BYTE
+        speed = self.settings.get('link_mbps', DEFAULT_LINK_MBPS)
+        return bits / (speed * _BITS_PER_MBIT)
+
     def _log_request(
-        self, work: gathering.Work, ending: gathering.Ending
+        self,
+        work: gathering.Work,
+        ending: gathering.Ending,
+        asked_by: str | None = None,
     ) -> None:
         self.request_log.ended(
             work,
             ending,
             work.message.request_id.decode('latin-1'),
+            asked_by,
             **self._knowledge(),
         )
 
@@ -228,77 +250,25 @@
         left_s = silent_since + LEAVE_ROTATION_S - self._clock()
         return max(COME_BACK_S, left_s)
 
-    async def _run(self, work: gathering.Work, changed: curio.Event) -> None:
-        self._dispatcher.start(work, self._clock())
-        await self._send()
-        while not work.is_finished(self._clock()):
-            next_at = self._dispatcher.tick(work, self._clock())
-            await self._send()
-            async with curio.ignore_after(max(0, next_at - self._clock())):
-                await changed.wait()
-            changed.clear()
-
-    # What backend servers answer.
-
-    async def answered(
-        self, attempt: gathering.Attempt, reply: gathering.Reply
-    ) -> None:
-        """Take a whole answer."""
-        self._dispatcher.answered(attempt, reply, self._clock())
-        await self._wake(attempt.leg.work)
-
-    async def failed_attempt(
-        self, attempt: gathering.Attempt, outcome: limits.CallOutcome
-    ) -> None:
-        """Take the end of an attempt without a whole answer."""
-        if outcome is limits.CallOutcome.CANCELLED:
-            self._dispatcher.cancelled(attempt, self._clock())
-        else:
-            self._dispatcher.failed(attempt, outcome, self._clock())
-        self._metrics.increment(f'host.attempts.{outcome.name.lower()}')
-        await self._wake(attempt.leg.work)
-
-    async def _wake(self, work: gathering.Work) -> None:
-        await self._send()
-        changed = self._changed_by_work.get(work)
-        if changed is not None and work.is_finished(self._clock()):
-            await changed.set()
-
-    async def _send(self) -> None:
-        for attempt in self._dispatcher.take_sends():
-            is_first = attempt.backend_id == attempt.leg.asked[0]
-            kind = 'first' if is_first else 'further'
-            self._metrics.increment(f'host.sent.{kind}')
-            await self.transport.send(attempt)
-
-    async def _cancel_if_left(self, work: gathering.Work) -> None:
-        """Stop the attempts of a request whose caller is gone.
-
-        Those of an answered request may go on: they end by themselves, and
-        closing their connections costs new ones.
-        """
-        if work.answered >= work.needed:
-            return
-        for attempt in work.open_attempts():
-            await self.transport.cancel(attempt)
-
     def _measure(self) -> None:
         """Let the metrics read what the host knows."""
         gauges = {
             'platform_age': lambda: self._clock() - self.platform_heard_at,
             'known_hosts': lambda: self._hosts,
             'backend_servers': lambda: len(self.directory.backends_by_id),
-            'open_requests': lambda: len(self._changed_by_work),
+            'open_requests': lambda: self.runs.count,
         }
         for name, read in gauges.items():
             self._metrics.gauge_from(f'host.{name}', read)
 
     def _share_with(self, hosts: int) -> None:
         self._dispatcher.share(
-            dispatching.Sharing(
+            extraload.Sharing(
                 max(1, hosts),
                 self.settings.get('retry_share', DEFAULT_RETRY_SHARE),
                 self.settings.get('retry_burst', 0),
+                self.asker.owners.owners if self.asker.is_on else 0,
+                self.asker.owners.owns,
             )
         )
 
--- a/cardamomflow/measures.py
+++ b/cardamomflow/measures.py
@@ -52,6 +52,30 @@
         'kind',
         'Attempts at backend servers; a further one is a hedge or a repeat.',
     ),
+    Measure(
+        'host.handed_over',
+        'host_handed_over',
+        '',
+        'Messages that asked another host for parts of a query.',
+    ),
+    Measure(
+        'host.handed_over_unused',
+        'host_unused_answers',
+        '',
+        'Answers of other hosts with a part that came from elsewhere before.',
+    ),
+    Measure(
+        'host.taken_over',
+        'host_taken_over',
+        '',
+        'Messages of other hosts that asked for parts of a query.',
+    ),
+    Measure(
+        'host.taken_back',
+        'host_taken_back',
+        'reason',
+        'Messages to other hosts whose parts this host asked for after all.',
+    ),
     Measure('log.lost', 'lost_log_lines', '', 'Log lines without reader.'),
     Measure(
         'entry.answered',
--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 
 from cardamomflow import gathering
 
@@ -40,21 +40,46 @@
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._unreachable_until: dict[str, float] = {}
         self._connections_by_service: Mapping[str, int] = {}
+        self._handed_over: Container[str] = frozenset()
         self._reports_by_id: dict[str, gathering.Load] = {}
         self._hosts = 1
+        self._owners = 0
 
-    def apply(self, connections_by_service: Mapping[str, int]) -> None:
-        """Take how many connections a backend server accepts."""
+    def apply(
+        self,
+        connections_by_service: Mapping[str, int],
+        handed_over: Container[str] = (),
+    ) -> None:
+        """Take how many connections a backend server accepts.
+
+        Parameters
+        ----------
+        connections_by_service : mapping of str to int
+        handed_over : container of str
+            Services that only their owners ask.
+        """
         self._connections_by_service = connections_by_service
+        self._handed_over = handed_over
 
-    def share(self, hosts: int) -> None:
-        """Take the number of hosts that hold connections."""
+    def share(self, hosts: int, owners: int = 0) -> None:
+        """Take the number of hosts, and of the owners of a service."""
         self._hosts = hosts
+        self._owners = owners
+
+    def holders(self, service: str) -> int:
+        """Return the number of hosts that ask a service.
+
+        Where only owners ask, one more stands for all hosts whose owner does
+        not answer.
+        """
+        if self._owners and service in self._handed_over:
+            return min(self._hosts, self._owners + 1)
+        return self._hosts
 
     def allowance(self, service: str) -> int:
         """Return the connections that this host may hold to a server."""
         accepted = self._connections_by_service.get(service, 1)
-        return max(1, accepted // self._hosts)
+        return max(1, accepted // self.holders(service))
 
     def reported(self, backend_id: str, load: gathering.Load) -> None:
         """Take the load that a backend server tells of itself."""
@@ -108,7 +133,10 @@
             backend_id
             for backend_id in backend_ids
             if self._in_flight[backend_id]
-            < min(accepted, self._share_of_slots(backend_id, accepted) + beyond)
+            < min(
+                accepted,
+                self._share_of_slots(service, backend_id, accepted) + beyond,
+            )
         ]
 
     def free_for_hedge(
@@ -123,12 +151,14 @@
         load = self._reports_by_id.get(backend_id)
         return load is None or load.waiting <= MAX_WAITING_BEFORE_HEDGE
 
-    def _share_of_slots(self, backend_id: str, unknown: int) -> int:
+    def _share_of_slots(
+        self, service: str, backend_id: str, unknown: int
+    ) -> int:
         """Return the requests of this host that keep a queue short."""
         load = self._reports_by_id.get(backend_id)
         if load is None:
             return unknown
-        return max(1, load.slots * REQUESTS_PER_SLOT // self._hosts)
+        return max(1, load.slots * REQUESTS_PER_SLOT // self.holders(service))
 
     def reachable(self, backend_ids: list[str], now: float) -> list[str]:
         """Return those that refused nothing lately, or all."""
--- /dev/null
+++ b/cardamomflow/peering.py
@@ -0,0 +1,374 @@
+"""Handing parts of queries to other hosts, and asking for those of others.
+
+Owns the links to the other hosts of the zone and who waits on them. Whom to
+ask is decided by `delegation`, what is asked and told by `parts`.
+"""
+
+import abc
+from collections.abc import Container, Iterable
+
+import curio
+
+from cardamomflow import (
+    aggregatorlinks,
+    context,
+    delegation,
+    errors,
+    events,
+    gathering,
+    hops,
+    ownership,
+    parts,
+    routing,
+)
+from cardamomflow.generated import wire_pb2
+
+# Time for which a host whose entry vanished stays an owner; an outage of the
+# platform with its catching up is shorter.
+MEMBER_HOLD_S = 30.0
+
+
+class Tier(abc.ABC):
+    """The host that peering works for."""
+
+    @abc.abstractmethod
+    async def take_back(
+        self,
+        handover: delegation.Handover,
+        *,
+        was_sent: bool,
+    ) -> None:
+        """Ask for the open parts of a handover itself."""
+
+    @abc.abstractmethod
+    async def wake(self, work: gathering.Work) -> None:
+        """Look at a request whose parts came."""
+
+
+class Report(abc.ABC):
+    """Takes the parts that another host waits for."""
+
+    @abc.abstractmethod
+    async def tell(self, *, is_last: bool) -> None:
+        """Send what was not told yet."""
+
+
+class _Waiter(aggregatorlinks.Waiter):
+    """Waits for the answers to one handover."""
+
+    def __init__(self, asker: 'Asker', handover: delegation.Handover) -> None:
+        self._asker = asker
+        self._handover = handover
+
+    async def answered(self, answer: wire_pb2.PartsAnswer) -> None:
+        """Take parts."""
+        await self._asker.answered(self._handover, answer)
+
+    async def refused(self, refusal: wire_pb2.Refusal) -> None:
+        """Take a refusal; the other host did not start."""
+        await self._asker.given_up(self._handover, was_sent=False)
+
+    async def lost(self, attempt_id: int) -> None:
+        """Note that the link ended."""
+        await self._asker.given_up(self._handover, was_sent=True)
+
+
+class _Linked(Container[str]):
+    """The hosts that can be asked without a dial."""
+
+    def __init__(self, peers: aggregatorlinks.AggregatorLinks) -> None:
+        self._peers = peers
+        self._usable = peers.usable()
+
+    def __contains__(self, host_id: object) -> bool:
+        return self._peers.is_linked(str(host_id)) and host_id in self._usable
+
+
+class Asker:
+    """Asks other hosts for parts."""
+
+    def __init__(self, around: context.Context, tier: Tier) -> None:
+        """Start without other hosts."""
+        self.owners = ownership.Ownership(ownership.own_member(around.settings))
+        self.links = aggregatorlinks.AggregatorLinks(around, _ignore)
+        self._own_id = around.settings['host']['id']
+        self.is_on = 'peers' in around.settings
+        self._tier = tier
+        self._clock = around.clock
+        self._metrics = around.metrics
+        self._journal = around.journal
+        self._delegation = delegation.Delegation(self.owners, self._own_id)
+        self._members: set[ownership.Member] = set()
+        self._homes: frozenset[str] = frozenset()
+        self._listed_until: dict[ownership.Member, float] = {}
+
+    async def apply(
+        self, members: Iterable[ownership.Member], homes: frozenset[str]
+    ) -> bool:
+        """Take the hosts that are listed; tell whether owners changed.
+
+        Entries of hosts that live lapse while the platform is away, so one
+        that vanished stays an owner for a while. Nothing is handed to it when
+        its link has ended.
+
+        Parameters
+        ----------
+        members : iterable of ownership.Member
+        homes : frozenset of str
+            Zones with backend servers whose parts are handed over.
+        """
+        if not self.is_on:
+            return False
+        now = self._clock()
+        for member in members:
+            self._listed_until[member] = now + MEMBER_HOLD_S
+        known = {
+            member
+            for member, until in self._listed_until.items()
+            if until > now
+        }
+        if known == self._members and homes == self._homes:
+            return False
+        self._members = known
+        self._homes = homes
+        self._listed_until = {
+            member: self._listed_until[member] for member in known
+        }
+        self.owners.apply(known, homes)
+        await self.links.apply(
+            [
+                routing.Aggregator(member.host_id, member.address, member.port)
+                for member in cell
+            ]
+            for cell in self.owners.peers
+        )
+        return True
+
+    def start(self, work: gathering.Work) -> None:
+        """Decide which parts other hosts are asked for."""
+        if self.is_on and not isinstance(work, parts.SharedWork):
+            self._delegation.start(work, _Linked(self.links), self._clock())
+
+    async def send(self, work: gathering.Work) -> None:
+        """Ask the other hosts."""
+        now = self._clock()
+        for handover in work.handovers:
+            request = parts.request_of(
+                work,
+                handover.attempt_id,
+                [leg.service for leg in handover.legs],
+                self._own_id,
+                now,
+            )
+            envelope = wire_pb2.Envelope(parts_request=request)
+            try:
+                await self.links.send(
+                    handover.host_id, envelope, _Waiter(self, handover)
+                )
+            except errors.FlowError:
+                await self.given_up(handover, was_sent=False)
+            else:
+                self._metrics.increment('host.handed_over')
+        if work.handovers:
+            # The messages leave before this host's own calls.
+            await curio.sleep(0)
+            self._delegation.sent(work, self._clock())
+
+    def next_look(self, work: gathering.Work) -> float:
+        """Return when to look for silent hosts."""
+        return self._delegation.next_look(work)
+
+    async def look(self, work: gathering.Work) -> None:
+        """Take back the parts of hosts that are silent."""
+        silent = self._delegation.take_silent(work, self._clock())
+        for slow in silent:
+            self._note_lost(slow, 'silent')
+            # It may be slow and not dead; a second attempt of it would be one
+            # too many beside that of this host.
+            await self._end(slow, cancel=True)
+        if silent:
+            await curio.sleep(0)
+        for handover in silent:
+            await self._tier.take_back(handover, was_sent=True)
+
+    async def end(self, work: gathering.Work) -> None:
+        """Tell the other hosts that nobody waits any more."""
+        cancel = work.answered < work.needed
+        for handover in work.handovers:
+            if handover.open:
+                await self._end(handover, cancel=cancel)
+
+    async def answered(
+        self, handover: delegation.Handover, answer: wire_pb2.PartsAnswer
+    ) -> None:
+        """Take parts that another host asked for."""
+        self._delegation.heard(handover)
+        if not parts.take_answer(handover.unsettled(), answer):
+            self._metrics.increment('host.handed_over_unused')
+        if answer.is_last:
+            handover.open = False
+            await self.links.end_attempt(handover.host_id, handover.attempt_id)
+        await self._tier.wake(handover.work)
+
+    async def given_up(
+        self, handover: delegation.Handover, *, was_sent: bool
+    ) -> None:
+        """Take back the parts of a host that can't be asked."""
+        if not handover.open:
+            return
+        self._delegation.lost(handover, self._clock())
+        self._note_lost(handover, 'lost' if was_sent else 'not_reached')
+        await self._tier.take_back(handover, was_sent=was_sent)
+
+    def _note_lost(self, handover: delegation.Handover, reason: str) -> None:
+        self._metrics.increment(f'host.taken_back.{reason}')
+        self._journal.info(
+            events.Event.HANDOVER_TAKEN_BACK,
+            peer=handover.host_id,
+            reason=reason,
+            services=len(handover.unsettled()),
+            request_id=handover.work.message.request_id.decode('latin-1'),
+        )
+
+    async def _end(
+        self, handover: delegation.Handover, *, cancel: bool
+    ) -> None:
+        handover.open = False
+        ended = wire_pb2.PartsEnd(attempt_id=handover.attempt_id, cancel=cancel)
+        await self.links.end_attempt(
+            handover.host_id,
+            handover.attempt_id,
+            wire_pb2.Envelope(parts_end=ended),
+        )
+
+
+class PartsServer(abc.ABC):
+    """Asks for parts on behalf of other hosts."""
+
+    @abc.abstractmethod
+    async def wake(self, work: gathering.Work) -> None:
+        """Look at a request that nobody waits for any more."""
+
+    @abc.abstractmethod
+    async def serve_parts(
+        self, work: parts.SharedWork, report: Report, asked_by: str
+    ) -> None:
+        """Ask for parts until the request ends, and report what comes."""
+
+
+class Answerer(hops.HopHandler):
+    """Serves the requests of other hosts for parts."""
+
+    def __init__(self, around: context.Context, server: PartsServer) -> None:
+        """Start without links."""
+        super().__init__()
+        self.stopping = False
+        self._server = server
+        self._clock = around.clock
+        self._metrics = around.metrics
+        self._tasks_by_link: dict[hops.WireLink, dict[int, _Serving]] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is served."""
+        return not any(self._tasks_by_link.values())
+
+    async def opened(self, link: hops.WireLink) -> None:
+        """Greet a host, which waits for the first frame."""
+        self._tasks_by_link[link] = {}
+        await link.post(self.ping())
+        if self.stopping:
+            await _post(link, _GOING_AWAY)
+
+    async def announce_stop(self) -> None:
+        """Let other hosts ask elsewhere from now on."""
+        self.stopping = True
+        for link in list(self._tasks_by_link):
+            await _post(link, _GOING_AWAY)
+
+    async def received(
+        self, link: hops.WireLink, message: wire_pb2.Envelope
+    ) -> None:
+        """Take a frame of another host."""
+        match message.WhichOneof('body'):
+            case 'parts_request':
+                await self._start(link, message.parts_request)
+            case 'parts_end':
+                await self._stop(link, message.parts_end)
+            case 'ping':
+                await self.take_ping(link, message.ping)
+            case 'pong':
+                self.take_pong(link, message.pong)
+
+    async def closed(self, link: hops.WireLink) -> None:
+        """Stop what a host asked for that is gone."""
+        for serving in self._tasks_by_link.pop(link, {}).values():
+            await serving.stop(cancel=True)
+
+    async def _start(
+        self, link: hops.WireLink, request: wire_pb2.PartsRequest
+    ) -> None:
+        work = parts.work_of(request, self._clock())
+        serving = _Serving(link, work, request.attempt_id)
+        servings = self._tasks_by_link[link]
+        servings[request.attempt_id] = serving
+        self._metrics.increment('host.taken_over')
+        await curio.spawn(
+            self._serve, serving, servings, request.asked_by, daemon=True
+        )
+
+    async def _serve(
+        self,
+        serving: '_Serving',
+        servings: dict[int, '_Serving'],
+        asked_by: str,
+    ) -> None:
+        try:
+            await self._server.serve_parts(serving.work, serving, asked_by)
+        finally:
+            servings.pop(serving.attempt_id, None)
+
+    async def _stop(
+        self, link: hops.WireLink, ended: wire_pb2.PartsEnd
+    ) -> None:
+        serving = self._tasks_by_link[link].get(ended.attempt_id)
+        if serving is not None:
+            await serving.stop(cancel=ended.cancel)
+            await self._server.wake(serving.work)
+
+
+class _Serving(Report):
+    """One request of another host."""
+
+    def __init__(
+        self, link: hops.WireLink, work: parts.SharedWork, attempt_id: int
+    ) -> None:
+        self.work = work
+        self.attempt_id = attempt_id
+        self._link = link
+
+    async def tell(self, *, is_last: bool) -> None:
+        """Send what was not told yet."""
+        if self.work.is_abandoned:
+            return
+        answer = self.work.take_news(self.attempt_id, is_last=is_last)
+        await _post(self._link, wire_pb2.Envelope(parts_answer=answer))
+
+    async def stop(self, *, cancel: bool) -> None:
+        """End the request, since nobody waits for it."""
+        self.work.abandon(cancel=cancel)
+
+
+_GOING_AWAY = wire_pb2.Envelope(going_away=wire_pb2.GoingAway())
+
+
+async def _post(link: hops.WireLink, envelope: wire_pb2.Envelope) -> None:
+    """Send a message; the end of a link is noticed by its own task."""
+    try:
+        await link.post(envelope)
+    except errors.ConnectFailed:
+        return
+
+
+def _ignore(_: object) -> None:
+    """Take holdings, which hosts do not send."""
--- a/cardamomflow/platform/documents.py
+++ b/cardamomflow/platform/documents.py
@@ -7,7 +7,14 @@
 import json
 from typing import Any
 
-from cardamomflow import authorities, errors, register, routes, rules
+from cardamomflow import (
+    authorities,
+    errors,
+    ownership,
+    register,
+    routes,
+    rules,
+)
 
 _MS = 1000
 _STATES = frozenset(('ready', 'draining'))
@@ -41,6 +48,34 @@
         return None
 
 
+def write_member(member: ownership.Member) -> bytes:
+    """Return the entry of a host of the product."""
+    return json.dumps(
+        {
+            'availability_zone': member.availability_zone,
+            'peers': f'{member.address}:{member.port}',
+            'capacity': member.capacity,
+        }
+    ).encode()
+
+
+def parse_member(host_id: str, content: bytes) -> ownership.Member | None:
+    """Return a host, None when its entry does not tell how to reach it."""
+    try:
+        document = json.loads(content)
+        address, port = authorities.split(document['peers'])
+        member = ownership.Member(
+            host_id,
+            str(document['availability_zone']),
+            address,
+            port,
+            float(document['capacity']),
+        )
+    except _UNREADABLE:
+        return None
+    return member if member.port and member.capacity > 0 else None
+
+
 def _parse_routes(document: dict[str, Any]) -> routes.RouteTable:
     limits = document['limits']
     return routes.RouteTable(
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -13,6 +13,8 @@
 
 _OK = 200
 _MS = 1000
+# Two ways between caller and host, 3 ms each at the slower customer.
+CONNECTING_S = 0.006
 _SET_BY_HOST = frozenset((wire.DEADLINE, wire.BACKEND_ID))
 
 
@@ -31,7 +33,7 @@
 
     @abc.abstractmethod
     async def answer(
-        self, route: routes.Route, message: Any, patience_s: float
+        self, route: routes.Route, message: Any, waiting: gathering.Waiting
     ) -> gathering.Work:
         """Return an ended request that has its answer.
 
@@ -81,7 +83,11 @@
             self._tier.refused(request_id, error)
             raise
         work = await self._tier.answer(
-            route, _message(request, request_id), _patience_s(headers)
+            route,
+            _message(request, request_id),
+            gathering.Waiting(
+                _patience_s(headers), CONNECTING_S if request.is_first else 0
+            ),
         )
         if route.merges:
             return _merged(work)
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -10,7 +10,7 @@
 import urllib.parse
 from typing import Any
 
-from cardamomflow import errors, routes, sources, webclient
+from cardamomflow import errors, ownership, routes, sources, webclient
 from cardamomflow.platform import channel, documents, wire
 
 DEFAULT_TIMEOUT_S = 1.0
@@ -71,9 +71,11 @@
             _number(document, 'as_of'),
         )
 
-    async def announce_host(self, host_id: str, ttl_s: float) -> None:
+    async def announce_host(
+        self, member: ownership.Member, ttl_s: float
+    ) -> None:
         """List this host, or renew its entry, for a time."""
-        self._own_key = f'{wire.HOSTS_PREFIX}{host_id}'
+        self._own_key = f'{wire.HOSTS_PREFIX}{member.host_id}'
         if self._lease != _NO_LEASE and await self._keep_lease():
             return
         reply = await self._channel.change(
@@ -88,7 +90,9 @@
                 'puts': [
                     {
                         'key': self._own_key,
-                        'value': '',
+                        'value': base64.b64encode(
+                            documents.write_member(member)
+                        ).decode(),
                         'lease': lease,
                     }
                 ],
@@ -163,16 +167,24 @@
 
 
 def _hosts(rows: list[dict[str, Any]]) -> list[sources.ListedHost]:
-    prefix = wire.HOSTS_PREFIX
     return [
-        sources.ListedHost(
-            row['key'].removeprefix(prefix), not row.get('removed')
-        )
+        _host(row)
         for row in rows
-        if str(row.get('key', '')).startswith(prefix)
+        if str(row.get('key', '')).startswith(wire.HOSTS_PREFIX)
     ]
 
 
+def _host(row: dict[str, Any]) -> sources.ListedHost:
+    host_id = row['key'].removeprefix(wire.HOSTS_PREFIX)
+    if row.get('removed'):
+        return sources.ListedHost(host_id, present=False, member=None)
+    try:
+        member = documents.parse_member(host_id, _value_of(row))
+    except errors.ProtocolViolation:
+        member = None
+    return sources.ListedHost(host_id, present=True, member=member)
+
+
 def _entry(row: dict[str, Any]) -> sources.Listed:
     backend_id = row['key'].removeprefix(wire.BACKENDS_PREFIX)
     backend = None
--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -43,6 +43,7 @@
         work: gathering.Work,
         ending: gathering.Ending,
         request_id: str,
+        asked_by: str | None = None,
         **knowledge: Any,
     ) -> None:
         """Log the end of a request, unless it was whole and in time.
@@ -52,16 +53,21 @@
         work : gathering.Work
         ending : gathering.Ending
         request_id : str
+        asked_by : str or None
+            The host that asked for parts; None when a caller asked.
         **knowledge
             What the host knew, with its age.
         """
         now = self._clock()
         name = _name_of(work, ending, now)
+        counted = name if asked_by is None else f'parts_{name}'
         if name == ANSWERED and work.route.repeatable:
-            self._counts[name] += 1
+            self._counts[counted] += 1
             return
-        if not self._may_log(name, repeatable=work.route.repeatable):
+        if not self._may_log(counted, repeatable=work.route.repeatable):
             return
+        if asked_by is not None:
+            knowledge['asked_by'] = asked_by
         self._journal.info(
             events.Event.REQUEST_ENDED,
             request_id=request_id,
--- a/cardamomflow/routes.py
+++ b/cardamomflow/routes.py
@@ -157,6 +157,15 @@
             for route in self._routes
         }
 
+    def services_of_queries(self, minimum: int) -> frozenset[str]:
+        """Return the shards of routes that have a minimum of them."""
+        return frozenset(
+            service
+            for route in self._routes
+            if len(route.shards) >= minimum
+            for service in route.shards
+        )
+
     def services(self) -> set[str]:
         """Return the services that any route names."""
         return {
--- /dev/null
+++ b/cardamomflow/running.py
@@ -0,0 +1,147 @@
+"""Requests in progress at one host, and what happens to them.
+
+Owns which requests are in progress and when each is looked at again. What is
+sent is decided by `dispatching` and `delegation`.
+"""
+
+import curio
+
+from cardamomflow import (
+    context,
+    delegation,
+    directory,
+    dispatching,
+    gathering,
+    limits,
+    parts,
+    peering,
+)
+from cardamomflow.platform import backendlink
+
+
+class Runs(backendlink.Events, peering.Tier):
+    """Requests of callers, and requests of other hosts for parts."""
+
+    def __init__(
+        self, around: context.Context, listed: directory.Directory
+    ) -> None:
+        """Start without requests."""
+        self.dispatcher = dispatching.Dispatcher(
+            listed,
+            around.settings['host']['availability_zone'],
+            around.random,
+        )
+        self.transport = backendlink.Transport(
+            listed.backends_by_id, self, around.clock
+        )
+        self.asker = peering.Asker(around, self)
+        self._clock = around.clock
+        self._metrics = around.metrics
+        self._changed_by_work: dict[gathering.Work, curio.Event] = {}
+
+    @property
+    def count(self) -> int:
+        """The number of requests in progress."""
+        return len(self._changed_by_work)
+
+    async def run(self, work: gathering.Work) -> gathering.Ending:
+        """Answer a request of a caller and say how it ended."""
+        changed = curio.Event()
+        self._changed_by_work[work] = changed
+        try:
+            await self._answer(work, changed)
+        finally:
+            self._changed_by_work.pop(work)
+            ending = work.end()
+            await self.asker.end(work)
+            # Attempts of an answered request may go on: they end by
+            # themselves, and closing their connections costs new ones.
+            if work.answered < work.needed:
+                await self._cancel(work)
+        return ending
+
+    async def run_parts(
+        self, work: parts.SharedWork, report: peering.Report
+    ) -> gathering.Ending:
+        """Ask for parts on behalf of another host."""
+        changed = curio.Event()
+        self._changed_by_work[work] = changed
+        try:
+            self.dispatcher.start(work, self._clock())
+            await self.send()
+            while not work.is_finished(self._clock()):
+                await self._wait(work, changed)
+                if not work.is_finished(self._clock()):
+                    await report.tell(is_last=False)
+        finally:
+            self._changed_by_work.pop(work)
+            ending = work.end()
+            await report.tell(is_last=True)
+            if work.cancels:
+                await self._cancel(work)
+        return ending
+
+    async def take_back(
+        self, handover: delegation.Handover, *, was_sent: bool
+    ) -> None:
+        """Ask for the open parts of a handover itself."""
+        self.dispatcher.take_back(
+            handover.unsettled(), self._clock(), was_sent=was_sent
+        )
+        await self.wake(handover.work)
+
+    async def answered(
+        self, attempt: gathering.Attempt, reply: gathering.Reply
+    ) -> None:
+        """Take a whole answer."""
+        self.dispatcher.answered(attempt, reply, self._clock())
+        await self.wake(attempt.leg.work)
+
+    async def failed_attempt(
+        self, attempt: gathering.Attempt, outcome: limits.CallOutcome
+    ) -> None:
+        """Take the end of an attempt without a whole answer."""
+        if outcome is limits.CallOutcome.CANCELLED:
+            self.dispatcher.cancelled(attempt, self._clock())
+        else:
+            self.dispatcher.failed(attempt, outcome, self._clock())
+        self._metrics.increment(f'host.attempts.{outcome.name.lower()}')
+        await self.wake(attempt.leg.work)
+
+    async def wake(self, work: gathering.Work) -> None:
+        """Send what was decided, and look at a request that has news."""
+        await self.send()
+        changed = self._changed_by_work.get(work)
+        if changed is not None and work.has_news(self._clock()):
+            await changed.set()
+
+    async def send(self) -> None:
+        """Send the attempts that were decided."""
+        for attempt in self.dispatcher.take_sends():
+            is_first = attempt.backend_id == attempt.leg.asked[0]
+            kind = 'first' if is_first else 'further'
+            self._metrics.increment(f'host.sent.{kind}')
+            await self.transport.send(attempt)
+
+    async def _answer(self, work: gathering.Work, changed: curio.Event) -> None:
+        self.asker.start(work)
+        self.dispatcher.start(work, self._clock())
+        if not work.is_finished(self._clock()):
+            await self.asker.send(work)
+        await self.send()
+        while not work.is_finished(self._clock()):
+            await self.asker.look(work)
+            await self._wait(work, changed)
+
+    async def _wait(self, work: gathering.Work, changed: curio.Event) -> None:
+        """Wait until a request has to be looked at again."""
+        next_at = self.dispatcher.tick(work, self._clock())
+        await self.send()
+        next_at = min(next_at, self.asker.next_look(work))
+        async with curio.ignore_after(max(0, next_at - self._clock())):
+            await changed.wait()
+        changed.clear()
+
+    async def _cancel(self, work: gathering.Work) -> None:
+        for attempt in work.open_attempts():
+            await self.transport.cancel(attempt)
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -85,6 +85,7 @@
         self._handler = handler
         self._server = server
         self._input_ended = False
+        self._is_first = True
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.bounds.head_bytes
         )
@@ -146,6 +147,7 @@
     async def _serve(self) -> None:
         while await self._serve_request():
             self._protocol.start_next_cycle()
+            self._is_first = False
             # Pipelined requests of one caller would never suspend this task.
             await curio.sleep(0)
 
@@ -191,6 +193,7 @@
             headers,
             body,
             head.headers,
+            self._is_first,
         )
 
     async def _read_head(self) -> h11.Request | None:
--- a/cardamomflow/sources.py
+++ b/cardamomflow/sources.py
@@ -6,7 +6,7 @@
 import abc
 from typing import NamedTuple
 
-from cardamomflow import register, routes
+from cardamomflow import ownership, register, routes
 
 
 class Listed(NamedTuple):
@@ -34,10 +34,13 @@
     host_id : str
     present : bool
         False when the entry is gone.
+    member : ownership.Member or None
+        None when the entry does not tell how to reach the host.
     """
 
     host_id: str
     present: bool
+    member: ownership.Member | None
 
 
 class News(NamedTuple):
@@ -81,7 +84,9 @@
         """
 
     @abc.abstractmethod
-    async def announce_host(self, host_id: str, ttl_s: float) -> None:
+    async def announce_host(
+        self, member: ownership.Member, ttl_s: float
+    ) -> None:
         """List this host, or renew its entry, for a time."""
 
     @abc.abstractmethod
--- a/cardamomflow/webhandler.py
+++ b/cardamomflow/webhandler.py
@@ -12,13 +12,24 @@
 
 
 class Request(NamedTuple):
-    """A whole request."""
+    """A whole request.
+
+    Attributes
+    ----------
+    method, path : str
+    headers : dict of str to str
+    body : bytes
+    raw_headers : sequence of (bytes, bytes)
+    is_first : bool
+        Whether its caller had to open the connection for it.
+    """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
     raw_headers: Sequence[tuple[bytes, bytes]] = ()
+    is_first: bool = False
 
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object.
--- a/lab/hosts.py
+++ b/lab/hosts.py
@@ -125,7 +125,9 @@
     ) -> None:
         """Take a request of a caller."""
         now = self._clock.now
-        work = gathering.Work(route, services, None, now, patience_s)
+        work = gathering.Work(
+            route, services, None, now, gathering.Waiting(patience_s)
+        )
         self._requests[work] = Request(kind, ended)
         self.needed += len(services)
         self._decisions.start(work, now)
--- a/lab/worlds.py
+++ b/lab/worlds.py
@@ -13,7 +13,13 @@
 
 from hdrh import histogram
 
-from cardamomflow import dispatching, gathering, hosting, routes
+from cardamomflow import (
+    dispatching,
+    extraload,
+    gathering,
+    hosting,
+    routes,
+)
 from lab import bounds, deployments, hosts, plain, servers, timeline
 
 SAMPLE_S = 0.1
@@ -237,7 +243,7 @@
         }
         dispatcher.occupancy.apply(connections_by_service)
         dispatcher.share(
-            dispatching.Sharing(
+            extraload.Sharing(
                 len(self.deployment.hosts),
                 self.deployment.retry_share,
                 self.deployment.retry_burst,
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -32,7 +32,10 @@
 class HostWorld:
     """Owns the stand-ins and the host; use it in an `async with` block."""
 
-    def __init__(self, services=('a', 'b'), replicas=2, zones=('z1',)):
+    def __init__(
+        self, services=('a', 'b'), replicas=2, zones=('z1',), **settings
+    ):
+        self._settings = settings
         self.store = users.Store()
         self.backends_by_id = {}
         self._ports_by_id = {}
@@ -51,9 +54,36 @@
                 zone = next(self._zones)
                 await self.add_backend(f'{service}{number}', service, zone=zone)
         self.publish(1)
+        self.store_port = store_port
         await self.start_host(store_port)
         return self
 
+    async def add_host(self, host_id, **settings):
+        """Start a further host, which takes parts of queries."""
+        client = kvstore.KvStore('127.0.0.1', self.store_port, 0.5)
+        parts = daemons.create_host(
+            context.create(
+                users.host_settings(
+                    host_id,
+                    'z1',
+                    self.store_port,
+                    retry_share=1.0,
+                    retry_burst=100,
+                    log={'level': 'error'},
+                    **settings,
+                )
+            ),
+            client,
+        )
+        self._stack.push_async_callback(client.close)
+        self._stack.push_async_callback(parts.program.transport.close)
+        await self._serve(parts.callers)
+        await self._serve(parts.readiness)
+        tasks = [await curio.spawn(loop) for loop in parts.tasks]
+        for task in tasks:
+            self._stack.push_async_callback(task.cancel)
+        return parts
+
     async def start_host(self, store_port):
         """Start the host in this loop."""
         settings = users.host_settings(
@@ -63,6 +93,7 @@
             retry_share=1.0,
             retry_burst=100,
             log={'level': 'error'},
+            **self._settings,
         )
         self._store_client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
         parts = daemons.create_host(
--- /dev/null
+++ b/tests/test_delegation.py
@@ -0,0 +1,232 @@
+"""Parts of queries that other hosts ask for, in virtual time."""
+
+import unittest
+
+from cardamomflow import delegation, gathering, ownership, parts
+from cardamomflow.generated import wire_pb2
+from cardamomflow.platform import backendlink
+from tests import test_dispatching
+
+SERVICES = tuple(f's{number}' for number in range(30))
+HOSTS = [
+    ownership.Member(f'h{number}', 'z1', '10.0.0.1', 1, 1.0)
+    for number in range(3)
+]
+OTHERS = {'h1', 'h2'}
+MESSAGE = backendlink.Message(b'GET', b'/p/', [(b'a', b'b')], b'', b'r1')
+
+
+def make_work(services=SERVICES, now=0.0, **changes):
+    route = test_dispatching.make_route(services, **changes)
+    return gathering.Work(route, services, MESSAGE, now, gathering.Waiting(2.0))
+
+
+def record(number):
+    return number.to_bytes(gathering.RECORD_BYTES, 'big')
+
+
+def part_reply(stamp, number):
+    return test_dispatching.reply(stamp=stamp, body=record(number))
+
+
+class DelegationTest(unittest.TestCase):
+    def setUp(self):
+        owners = ownership.Ownership(HOSTS[0])
+        owners.apply(HOSTS, {'z1'})
+        self.delegation = delegation.Delegation(owners, 'h0')
+
+    def start(self, usable=OTHERS, now=0.0, **changes):
+        work = make_work(now=now, **changes)
+        self.delegation.start(work, usable, now)
+        self.delegation.sent(work, now)
+        return work
+
+    def hosts_asked(self, usable=OTHERS, now=0.0):
+        return {one.host_id for one in self.start(usable, now).handovers}
+
+    def look(self, work, now):
+        return self.delegation.take_silent(work, now)
+
+    def test_own_services_stay_here(self):
+        """Guards against a query that makes all its calls from one host."""
+        work = self.start()
+        handed = [leg for one in work.handovers for leg in one.legs]
+        kept = [leg for leg in work.legs if leg.handover is None]
+        self.assertEqual({one.host_id for one in work.handovers}, OTHERS)
+        self.assertEqual(len(handed) + len(kept), len(SERVICES))
+        self.assertTrue(kept)
+
+    def test_small_query_is_not_handed_over(self):
+        """Guards against two hops where one host is faster."""
+        work = make_work(SERVICES[:10])
+        self.assertEqual(self.delegation.start(work, OTHERS, 0.0), [])
+
+    def test_silent_host_is_given_up_at_the_second_look(self):
+        """Guards against blaming a host whose sign waits unread here."""
+        work = self.start()
+        at = self.delegation.next_look(work)
+        self.assertEqual(self.look(work, at), [])
+        again = self.delegation.next_look(work)
+        self.assertGreater(again, at)
+        self.assertEqual(len(self.look(work, again)), 2)
+        self.assertEqual(self.delegation.next_look(work), work.deadline)
+
+    def test_host_that_gave_a_sign_is_waited_for(self):
+        """Guards against three attempts where two are allowed."""
+        work = self.start()
+        heard = work.handovers[0]
+        self.delegation.heard(heard)
+        self.look(work, 1.0)
+        self.assertNotIn(heard, self.look(work, 1.1))
+
+    def test_silent_host_gets_nothing_for_a_while(self):
+        """Guards against each query waiting for a stopped host."""
+        work = self.start()
+        self.delegation.lost(work.handovers[0], 0.0)
+        lost_id = work.handovers[0].host_id
+        self.assertEqual(self.hosts_asked(now=0.1), OTHERS - {lost_id})
+        later = delegation.AVOIDED_S + 0.1
+        self.assertEqual(self.hosts_asked(now=later), OTHERS)
+
+    def test_unanswered_part_may_have_run(self):
+        """Guards against a promise that nothing ran."""
+        work = self.start()
+        for leg in work.legs:
+            if leg.handover is None:
+                work.give_up(leg, 'no_backend_server')
+        self.assertIs(work.end(), gathering.Ending.LATE)
+
+
+class TakeBackTest(unittest.TestCase):
+    def setUp(self):
+        self.world = test_dispatching.World(SERVICES, replicas=3)
+        self.work = make_work()
+        self.leg = self.work.legs[0]
+
+    def take_back(self, *, was_sent):
+        self.leg.handover = object()
+        self.world.dispatcher.take_back([self.leg], 0.0, was_sent=was_sent)
+        return self.world.sends()
+
+    def test_part_that_was_not_sent_is_asked_for_anew(self):
+        """Guards against a lost hop that uses up attempts."""
+        self.assertEqual(len(self.take_back(was_sent=False)), 1)
+        self.assertEqual(self.leg.attempts_elsewhere, 0)
+
+    def test_silent_owner_counts_as_an_attempt(self):
+        """Guards against more backend servers than a route allows."""
+        attempts = self.take_back(was_sent=True)
+        self.assertEqual(len(attempts), 1)
+        self.world.dispatcher.tick(self.work, 0.09)
+        self.assertEqual(self.world.sends(), [])
+
+    def test_route_with_one_attempt_gives_up(self):
+        """Guards against a second attempt where one is allowed."""
+        self.work = make_work(attempts=1)
+        self.leg = self.work.legs[0]
+        self.assertEqual(self.take_back(was_sent=True), [])
+        self.assertTrue(self.leg.may_run)
+
+
+class SharedWorkTest(unittest.TestCase):
+    def setUp(self):
+        asked = make_work(('a', 'b', 'c'))
+        request = parts.request_of(asked, 7, ['a', 'b'], 'h0', 0.01)
+        self.asked = asked
+        self.work = parts.work_of(request, 5.0)
+
+    def settle(self, place, stamp='s', number=1):
+        leg = self.work.legs[place]
+        self.work.accept(leg, part_reply(stamp, number))
+
+    def test_request_survives_the_hop(self):
+        """Guards against a request that differs from the caller's."""
+        self.assertEqual(self.work.message, MESSAGE)
+        self.assertEqual(self.work.route.rank, self.asked.route.rank)
+        self.assertAlmostEqual(
+            self.work.deadline - 5.0, self.asked.deadline - 0.01, delta=1e-5
+        )
+        self.assertLess(self.work.answer_at - 5.0, self.asked.answer_at - 0.01)
+
+    def test_request_without_services_is_refused(self):
+        """Guards against a peer of another version."""
+        for services in ([], ['a', 'a']):
+            request = wire_pb2.PartsRequest(services=services, rank=1)
+            with self.assertRaises(parts.errors.ProtocolViolation):
+                parts.work_of(request, 0.0)
+
+    def test_parts_are_collected_until_all_came(self):
+        """Guards against a message for each part."""
+        self.settle(0)
+        self.assertFalse(self.work.has_news(5.001))
+        self.settle(1)
+        self.assertTrue(self.work.has_news(5.001))
+
+    def test_second_attempt_is_told(self):
+        """Guards against an asker that adds a third attempt."""
+        leg = self.work.legs[0]
+        leg.ask('b0', 'z1', 5.0)
+        self.assertFalse(self.work.has_news(5.001))
+        leg.ask('b1', 'z1', 5.02)
+        self.assertTrue(self.work.has_news(5.021))
+
+    def test_parts_after_the_first_answer_are_told_at_once(self):
+        """Guards against parts that come too late for the target."""
+        self.settle(0)
+        first = self.work.take_news(7, is_last=False)
+        self.assertEqual([part.service for part in first.parts], ['a'])
+        self.assertFalse(self.work.has_news(5.03))
+        self.work.give_up(self.work.legs[1], 'status_500')
+        self.assertTrue(self.work.has_news(5.04))
+        last = self.work.take_news(7, is_last=True)
+        self.assertEqual(list(last.parts), [])
+        self.assertEqual(last.missing[0].reason, 'status_500')
+
+    def test_abandoned_work_ends(self):
+        """Guards against work for a caller that is gone."""
+        self.work.abandon(cancel=True)
+        self.assertTrue(self.work.is_finished(5.0))
+
+
+class AnswerTest(unittest.TestCase):
+    def setUp(self):
+        self.work = make_work(('a', 'b', 'c'))
+
+    def answer(self, *services, missing=()):
+        return wire_pb2.PartsAnswer(
+            parts=[
+                wire_pb2.Part(service=one, stamp=f'stamp-{one}')
+                for one in services
+            ],
+            records=record(9) + record(4),
+            missing=[
+                wire_pb2.MissingPart(service=one, reason='status_500')
+                for one in missing
+            ],
+        )
+
+    def take(self, answer):
+        return parts.take_answer(
+            [leg for leg in self.work.legs if not leg.is_settled], answer
+        )
+
+    def test_records_of_an_answer_count_once(self):
+        """Guards against records that stand twice in a merged answer."""
+        self.assertTrue(self.take(self.answer('a', 'b', missing=['c'])))
+        found = self.work.parts()
+        self.assertEqual([part.stamp for part in found], ['stamp-a', 'stamp-b'])
+        self.assertEqual(gathering.merge(found, 9), record(9) + record(4))
+        self.assertEqual(self.work.failed, 1)
+
+    def test_answer_with_a_part_from_elsewhere_is_not_used(self):
+        """Guards against records of a part that is merged twice."""
+        self.work.accept(self.work.legs[0], part_reply('own', 9))
+        self.assertFalse(self.take(self.answer('a', 'b')))
+        self.assertEqual(self.work.answered, 1)
+
+    def test_not_run_elsewhere_is_not_run(self):
+        """Guards against an unknown outcome where nothing was sent."""
+        for leg in self.work.legs:
+            leg.handover = object()
+        self.take(self.answer(missing=['a', 'b', 'c']))
+        self.assertIs(self.work.end(), gathering.Ending.NOT_RUN)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -6,6 +6,7 @@
 from cardamomflow import (
     directory,
     dispatching,
+    extraload,
     gathering,
     limits,
     register,
@@ -89,11 +90,15 @@
             )
         )
         known = {'hosts': 1, 'extra_share': 1.0, 'extra_burst': 100}
-        self.dispatcher.share(dispatching.Sharing(**(known | sharing)))
+        self.dispatcher.share(extraload.Sharing(**(known | sharing)))
 
     def start(self, route, patience_s=2.0, now=0.0):
         work = gathering.Work(
-            route, route.services(random.Random(1)), None, now, patience_s
+            route,
+            route.services(random.Random(1)),
+            None,
+            now,
+            gathering.Waiting(patience_s),
         )
         self.dispatcher.start(work, now)
         return work
@@ -296,7 +301,7 @@
         repeats = 0
         for number in range(20):
             hosts = 1 + number % 2
-            world.dispatcher.share(dispatching.Sharing(hosts, 0, 100))
+            world.dispatcher.share(extraload.Sharing(hosts, 0, 100))
             world.start(make_route('a'))
             (first,) = world.sends()
             world.dispatcher.failed(first, limits.CallOutcome.FAILED, 0.0)
@@ -383,5 +388,5 @@
         """Guards against more connections than a backend server accepts."""
         world = World(('a',), connections=26, hosts=8)
         self.assertEqual(world.dispatcher.occupancy.allowance('a'), 3)
-        world.dispatcher.share(dispatching.Sharing(40, 0.2, 0))
+        world.dispatcher.share(extraload.Sharing(40, 0.2, 0))
         self.assertEqual(world.dispatcher.occupancy.allowance('a'), 1)
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,200 @@
+"""Hosts that hand parts of queries to each other, over real sockets."""
+
+import socket
+import unittest
+from unittest import mock
+
+import curio
+
+from cardamomflow import delegation, following
+from cardamomflow.platform import wire
+from tests import hostworld, loops
+
+SERVICES = tuple(f's{number:02}' for number in range(30))
+TARGET = '/lookup/x'
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def counted(host, name):
+    return host._metrics.totals_by_name[name]
+
+
+class FleetWorld(hostworld.HostWorld):
+    """Three hosts of one zone and 30 services."""
+
+    def __init__(self):
+        super().__init__(
+            SERVICES, replicas=2, zones=('z1',), peers=free_address()
+        )
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        for number, backend in enumerate(self.backends_by_id.values()):
+            backend.records = hostworld.record(number)
+        self.others = [
+            await self.add_host(f'host-{number}', peers=free_address())
+            for number in (2, 3)
+        ]
+        await loops.until(self._is_linked, limit_s=10)
+        return self
+
+    def _is_linked(self):
+        programs = [self.host, *(parts.program for parts in self.others)]
+        return all(
+            len(program.asker.links.connected) == 2
+            and len(program.directory.backends_by_id) == 2 * len(SERVICES)
+            for program in programs
+        )
+
+
+def play(scenario):
+    with mock.patch.object(following, 'ANNOUNCE_INTERVAL_S', 0.1):
+        return hostworld.play(scenario, FleetWorld)
+
+
+def stamps(answer):
+    return answer.headers[wire.PART_STAMPS].split(',')
+
+
+class PeeringTest(unittest.TestCase):
+    def test_query_is_shared(self):
+        """Guards against a host that makes all calls of a query itself."""
+
+        async def scenario(world):
+            answer = await world.ask(TARGET)
+            return (
+                answer,
+                counted(world.host, 'host.sent.first'),
+                [
+                    counted(parts.program, 'host.sent.first')
+                    for parts in world.others
+                ],
+            )
+
+        answer, own, others = play(scenario)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(set(stamps(answer))), len(SERVICES))
+        self.assertEqual(answer.headers[wire.MISSING_PARTS], '0')
+        self.assertEqual(own + sum(others), len(SERVICES))
+        self.assertTrue(all(others))
+
+    def test_lost_host_costs_no_answer(self):
+        """Guards against queries that fail until a lost host is delisted."""
+
+        async def scenario(world):
+            lost = world.others[0]
+            for link in list(lost.answerer._tasks_by_link):
+                await link._abort()
+            answer = await world.ask(TARGET)
+            return len(set(stamps(answer)))
+
+        self.assertEqual(play(scenario), len(SERVICES))
+
+    def test_stopped_host_is_given_up_in_time(self):
+        """Guards against a target that is missed for a frozen host."""
+
+        async def scenario(world):
+            frozen = world.others[0].answerer
+
+            async def ignore(*_):
+                return None
+
+            frozen.received = ignore
+            started_at = world.host._clock()
+            answer = await world.ask(TARGET)
+            took_s = world.host._clock() - started_at
+            silent = counted(world.host, 'host.taken_back.silent')
+            again = await world.ask(TARGET, request_id='r2')
+            return len(set(stamps(answer))), took_s, silent, again
+
+        parts, took_s, silent, again = play(scenario)
+        self.assertEqual(parts, len(SERVICES))
+        self.assertEqual(silent, 1)
+        self.assertLess(took_s, 0.5)
+        self.assertEqual(len(set(stamps(again))), len(SERVICES))
+
+    def test_leaving_host_gets_no_parts(self):
+        """Guards against parts that are cut by a planned stop."""
+
+        async def scenario(world):
+            leaving = world.others[0]
+            await leaving.answerer.announce_stop()
+            links = world.host.asker.links
+            await loops.until(lambda: 'host-2' not in links.usable())
+            before = counted(leaving.program, 'host.taken_over')
+            answer = await world.ask(TARGET)
+            taken = counted(leaving.program, 'host.taken_over') - before
+            return len(set(stamps(answer))), taken
+
+        self.assertEqual(play(scenario), (len(SERVICES), 0))
+
+    def test_caller_that_leaves_ends_the_work_of_owners(self):
+        """Guards against backend servers that work for nobody."""
+
+        async def scenario(world):
+            for backend in world.backends_by_id.values():
+                backend.pause_s = 5.0
+            asking = await curio.spawn(world.ask, TARGET)
+            await loops.until(
+                lambda: all(
+                    not parts.answerer.is_idle for parts in world.others
+                )
+            )
+            await asking.cancel()
+            await loops.until(
+                lambda: all(parts.answerer.is_idle for parts in world.others)
+            )
+            await loops.until(
+                lambda: (
+                    not any(
+                        parts.program.transport._busy for parts in world.others
+                    )
+                )
+            )
+            return True
+
+        self.assertTrue(play(scenario))
+
+    def test_silent_owner_stops_when_it_is_given_up(self):
+        """Guards against three attempts where a route allows two."""
+
+        async def scenario(world):
+            owner = world.others[0].answerer
+            take, held = owner.received, []
+
+            async def hold(*frame):
+                held.append(frame)
+
+            owner.received = hold
+            await world.ask(TARGET)
+            for frame in held:
+                await take(*frame)
+            await loops.until(lambda: owner.is_idle)
+            return counted(world.others[0].program, 'host.sent.further')
+
+        self.assertEqual(play(scenario), 0)
+
+    def test_avoided_host_is_used_again(self):
+        """Guards against a pause that costs an owner for good."""
+
+        async def scenario(world):
+            answerer = world.others[0].answerer
+            take = answerer.received
+
+            async def ignore(*_):
+                return None
+
+            answerer.received = ignore
+            await world.ask(TARGET)
+            answerer.received = take
+            await curio.sleep(delegation.AVOIDED_S)
+            before = counted(world.others[0].program, 'host.taken_over')
+            await world.ask(TARGET, request_id='r2')
+            return counted(world.others[0].program, 'host.taken_over') - before
+
+        self.assertEqual(play(scenario), 1)
