--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -136,13 +136,14 @@
             member: self._listed_until[member] for member in known
         }
         self.owners.apply(known, homes)
+        # Without shared services no host needs a link.
+        cells = self.owners.peers if homes else []
         await self.links.apply(
             [
                 routing.Aggregator(member.host_id, member.address, member.port)
                 for member in cell
             ]
-            # Without shared services no host needs a link.
-            for cell in (self.owners.peers if homes else ())
+            for cell in cells
         )
         return True
 
