Let one host of a cell watch the platform for the others

Change: newsrelay decides whom a host hears and keeps the newest news for listeners, newslinks passes them on over the links between hosts. Follower asks the platform when nobody tells it fresh news. An outage that the teller has noticed is passed on, so that lapsed entries are held back. The age of what a host knows is that of the platform's answer, not of the message.

Ruled out: a longer pause between watches alone (halves the calls, not the bytes); one teller for all hosts (bytes between zones, and a zone cut off would lose it); a teller that is elected through the store (a call and a lease more, while ranks with a bound on the age of news need no agreement).

--- a/cardamomflow/aggregatorlinks.py
+++ b/cardamomflow/aggregatorlinks.py
@@ -7,7 +7,7 @@
 """
 
 import abc
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Container, Iterable, Sequence
 from typing import Any
 
 import curio
@@ -29,6 +29,7 @@
 _IDLE_CHECK_S = 5.0
 
 WireLink = hops.WireLink
+NewsTaker = Callable[[str, wire_pb2.News], Awaitable[None]]
 
 
 class Waiter(abc.ABC):
@@ -136,6 +137,8 @@
         self._context = around
         self._clock = around.clock
         self._holdings_changed = holdings_changed
+        # Takes news of the platform and who told them.
+        self.take_news: NewsTaker = _ignore_news
         self._peers_by_id: dict[str, _Peer] = {}
         self._peers_by_link: dict[WireLink, _Peer] = {}
         # Ids by zone, in the order in which zones replace each other.
@@ -212,9 +215,10 @@
         """Return the aggregators that can be asked or dialed now."""
         return _Usable(self._peers_by_id, self._clock())
 
-    def is_linked(self, aggregator_id: str) -> bool:
-        """Tell whether `send` needs no dial first."""
-        return self._link_to(aggregator_id) is not None
+    def link_to(self, aggregator_id: str) -> WireLink | None:
+        """Return the link of an aggregator, None if it needs a dial."""
+        peer = self._peers_by_id.get(aggregator_id)
+        return None if peer is None else peer.link
 
     async def dial(self, aggregator_id: str, limit_s: float) -> None:
         """Make sure that there is a link.
@@ -260,7 +264,7 @@
         errors.ConnectFailed
             Nothing was sent.
         """
-        link = self._link_to(aggregator_id)
+        link = self.link_to(aggregator_id)
         if link is None:
             raise errors.ConnectFailed(f'no link to {aggregator_id}')
         self._peers_by_id[aggregator_id].used_at = self._clock()
@@ -278,32 +282,6 @@
         """Stop waiting for an answer."""
         self._waiters_by_link.get(link, {}).pop(attempt_id, None)
 
-    async def end_attempt(
-        self,
-        aggregator_id: str,
-        attempt_id: int,
-        told: wire_pb2.Envelope | None = None,
-    ) -> None:
-        """Wait no longer for an attempt.
-
-        Parameters
-        ----------
-        aggregator_id : str
-        attempt_id : int
-        told : wire_pb2.Envelope or None
-            Sent to the aggregator, if there is a link.
-        """
-        link = self._link_to(aggregator_id)
-        if link is None:
-            return
-        self.forget(link, attempt_id)
-        if told is None:
-            return
-        try:
-            await link.post(told)
-        except errors.ConnectFailed:
-            return
-
     def is_awaited(self, link: WireLink) -> bool:
         """Tell whether a request waits for an answer over a link."""
         return bool(self._waiters_by_link.get(link))
@@ -325,6 +303,10 @@
                 await self._deliver(link, getattr(message, kind))
             case 'holdings':
                 self._holdings_changed(message.holdings)
+            case 'news':
+                await self.take_news(
+                    peer.aggregator.aggregator_id, message.news
+                )
             case 'ping':
                 await self.take_ping(link, message.ping)
             case 'pong':
@@ -401,10 +383,6 @@
             await curio.sleep(_LET_GO_POLL_S)
         await link.close()
 
-    def _link_to(self, aggregator_id: str) -> WireLink | None:
-        peer = self._peers_by_id.get(aggregator_id)
-        return None if peer is None else peer.link
-
     # Dials.
 
     async def _start_dial(self, peer: _Peer) -> None:
@@ -438,3 +416,8 @@
         self._context.metrics.increment('link.connect_failed')
         peer.lost(self._clock())
         await dial.ended.set()
+
+
+async def _ignore_news(host_id: str, news: wire_pb2.News) -> None:
+    """Take news that nobody asked for."""
+    del host_id, news
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -19,6 +19,7 @@
     localview,
     logoutput,
     metricspage,
+    newslinks,
     operations,
     peering,
     reloading,
@@ -158,6 +159,7 @@
     peers : LinkServer or None
         Takes requests for parts; listens already.
     answerer : peering.Answerer
+    news : newslinks.NewsLinks
     """
 
     program: hosting.Host
@@ -167,6 +169,7 @@
     follower: following.Follower
     peers: LinkServer | None
     answerer: peering.Answerer
+    news: newslinks.NewsLinks
 
 
 def create_host(around: context.Context, store: sources.Source) -> HostParts:
@@ -181,8 +184,11 @@
     )
     program.zones.turn_away = server.turn_away
     program.bounds_changed = functools.partial(setattr, server, 'bounds')
-    follower = following.Follower(store, program.directory, program, around)
-    answerer = peering.Answerer(around, program)
+    news = newslinks.NewsLinks(around, program.asker)
+    follower = following.Follower(
+        store, program.directory, program, news, around
+    )
+    answerer = peering.Answerer(around, program, news)
     peers = None
     if 'peers' in settings:
         peers = LinkServer(*authorities.split(settings['peers']), answerer)
@@ -194,6 +200,7 @@
             program.transport.sweep,
             program.zones.run,
             program.asker.links.run,
+            news.run,
             *(() if peers is None else (peers.serve,)),
             *_log_tasks(around, program.request_log),
             follower.follow,
@@ -204,6 +211,7 @@
         follower,
         peers,
         answerer,
+        news,
     )
 
 
--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -67,9 +67,20 @@
 
     def outage(self, now: float) -> None:
         """Note that the platform does not answer, or has just returned."""
-        self._outage_until = now + LAPSE_HOLD_S
+        self.hold_until(now + LAPSE_HOLD_S)
+
+    @property
+    def outage_until(self) -> float:
+        """Until when an entry that vanishes may have lapsed."""
+        return self._outage_until
+
+    def hold_until(self, until: float) -> None:
+        """Keep entries that vanish until a time."""
+        if until <= self._outage_until:
+            return
+        self._outage_until = until
         for backend_id in self._lapsed_until:
-            self._lapsed_until[backend_id] = self._outage_until
+            self._lapsed_until[backend_id] = until
 
     def listed(self, backend: register.Backend) -> Change | None:
         """Take an entry; returns None when nothing changed."""
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -29,6 +29,7 @@
     PROCESS_REGISTERED = 'process registered'
     VIEW_OLD = 'view of the members too old'
     PLATFORM_LOST = 'platform lost'
+    NEWS_SOURCE = 'news source'
     PLATFORM_REGAINED = 'platform regained'
     ZONE_SILENT = 'zone silent'
     ZONE_ANSWERS = 'zone answers'
--- a/cardamomflow/fanout.py
+++ b/cardamomflow/fanout.py
@@ -232,7 +232,7 @@
 
     async def _start_sending(self, ask: scatter.Ask) -> list[str]:
         """Send at once over a link; dial in a task, so that none waits."""
-        if self._aggregators.is_linked(ask.aggregator_id):
+        if self._aggregators.link_to(ask.aggregator_id) is not None:
             return await self._send(ask)
         self._dialing.add(ask.attempt_id)
         await curio.spawn(self._dial_and_send, ask, daemon=True)
--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -14,6 +14,7 @@
     directory,
     errors,
     events,
+    newsrelay,
     ownership,
     routes,
     sources,
@@ -23,6 +24,9 @@
 # in force 4 s after that at the latest, so a silent watch ends within 3 s, with
 # a second for its answer. A watch of 5 s broke the bound in an outage of 2 s.
 WATCH_WAIT_S = 2.0
+# With hosts that listen: the age of their news is the wait and what it takes to
+# pass them on.
+LISTENED_WAIT_S = 1.0
 # Backend servers and hosts come and go in groups; each answer of a watch is a
 # call that is paid for, and a leaving backend server takes work for 3 s.
 # Without the pause each host that starts is a call of every other one.
@@ -51,8 +55,8 @@
         """Take changes of the list of backend servers."""
 
     @abc.abstractmethod
-    def platform_heard(self) -> None:
-        """Note that the platform answered."""
+    def platform_heard(self, heard_at: float) -> None:
+        """Note when the platform answered this host or another one."""
 
     @abc.abstractmethod
     async def hosts_counted(self, hosts: int) -> None:
@@ -63,6 +67,27 @@
         """Take the hosts that can be reached by others."""
 
 
+class NewsPeers(abc.ABC):
+    """Other hosts that tell and hear what happens at the platform."""
+
+    @property
+    @abc.abstractmethod
+    def has_listeners(self) -> bool:
+        """Whether other hosts rely on this one."""
+
+    @abc.abstractmethod
+    async def next_news(self, revision: int) -> newsrelay.News | None:
+        """Return news of another host, None to ask the platform."""
+
+    @abc.abstractmethod
+    async def pass_on(self, news: newsrelay.News) -> None:
+        """Tell others what this host has taken."""
+
+    @abc.abstractmethod
+    def platform_lost(self, outage_until: float) -> None:
+        """Note that the platform does not answer this host."""
+
+
 class Follower:
     """Reads and watches the platform for one host."""
 
@@ -71,9 +96,11 @@
         source: sources.Source,
         listed: directory.Directory,
         listener: Listener,
+        peers: NewsPeers,
         around: context.Context,
     ) -> None:
         """Take where to read and whom to tell."""
+        self._peers = peers
         self._source = source
         self._directory = listed
         self._listener = listener
@@ -99,6 +126,7 @@
             except errors.FlowError as error:
                 self._note_lost('store', error)
                 self._directory.outage(self._clock())
+                self._peers.platform_lost(self._directory.outage_until)
                 # A call at once may fall into the same disturbance: after a
                 # reset, a new connection was not accepted for a second.
                 await curio.sleep(
@@ -106,7 +134,6 @@
                 )
             else:
                 self._note_regained('store')
-                self._listener.platform_heard()
 
     async def expire_backends(self) -> None:
         """Drop lapsed entries when their time is over, until cancelled."""
@@ -142,21 +169,60 @@
             await self._leaving.wait()
 
     async def _take_next(self, revision: int | None) -> int:
+        """Take the next news; return the revision that is known then."""
         if revision is None:
             news = await self._source.read()
             await self._take_list(news.entries)
             self._members_by_id.clear()
         else:
-            # A store that failed has to show soon whether it is back.
-            wait_s = PROBE_WAIT_S if 'store' in self._lost else WATCH_WAIT_S
-            news = await self._source.watch(revision, wait_s)
+            heard = None
+            if 'store' not in self._lost:
+                heard = await self._peers.next_news(revision)
+            if heard is not None:
+                return await self._take_heard(heard, revision)
+            news = await self._source.watch(revision, self._watch_wait_s())
+        await self._take(news)
+        before = news.revision if revision is None else revision
+        changed = news.revision != before
+        await self._pass_on(
+            newsrelay.News(
+                before,
+                news.revision,
+                news.content if changed else b'',
+                self._clock(),
+                self._directory.outage_until,
+            )
+        )
+        if news.revision != revision and news.table is None:
+            await curio.sleep(GATHER_CHANGES_S)
+        return news.revision
+
+    async def _take_heard(self, heard: newsrelay.News, revision: int) -> int:
+        """Take what another host has told."""
+        self._directory.hold_until(heard.outage_until)
+        if heard.content and heard.revision > revision:
+            await self._take(self._source.parse(heard.content))
+        await self._pass_on(heard)
+        return max(heard.revision, revision)
+
+    async def _pass_on(self, news: newsrelay.News) -> None:
+        self._listener.platform_heard(news.heard_at)
+        await self._peers.pass_on(news)
+
+    async def _take(self, news: sources.News) -> None:
         await self._take_routes(news.table)
         changes = [self._take_entry(entry) for entry in news.entries]
         await self._tell([change for change in changes if change is not None])
         await self._take_hosts(news.hosts)
-        if news.revision != revision and news.table is None:
-            await curio.sleep(GATHER_CHANGES_S)
-        return news.revision
+
+    def _watch_wait_s(self) -> float:
+        """Return how long a watch waits without changes."""
+        if 'store' in self._lost:
+            # A store that failed has to show soon whether it is back.
+            return PROBE_WAIT_S
+        if self._peers.has_listeners:
+            return LISTENED_WAIT_S
+        return WATCH_WAIT_S
 
     async def _take_hosts(self, hosts: list[sources.ListedHost]) -> None:
         """Count the hosts, this one among them."""
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -109,9 +109,9 @@
                 await self.transport.close_idle(change.backend_id)
         await self.runs.send()
 
-    def platform_heard(self) -> None:
-        """Note that the platform answered."""
-        self.platform_heard_at = self._clock()
+    def platform_heard(self, heard_at: float) -> None:
+        """Note when the platform answered this host or another one."""
+        self.platform_heard_at = heard_at
 
     async def hosts_counted(self, hosts: int) -> None:
         """Take the number of hosts that share connections and budgets.
--- a/cardamomflow/measures.py
+++ b/cardamomflow/measures.py
@@ -70,6 +70,12 @@
         '',
         'Messages of other hosts that asked for parts of a query.',
     ),
+    Measure(
+        'host.news_told',
+        'host_news_told',
+        '',
+        'Messages with news of the platform, or the sign of none, to hosts.',
+    ),
     Measure(
         'host.silent_owners',
         'host_silent_owners',
--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -46,6 +46,7 @@
 
     Attributes
     ----------
+    own : Member
     owners : int
         Hosts of the fleet that ask for one service, if all see the same.
     cells : list of tuple of Member
@@ -57,7 +58,7 @@
         """Start without other hosts."""
         self.owners = 1
         self.cells: list[tuple[Member, ...]] = [(own,)]
-        self._own = own
+        self.own = own
         self._ranked_by_key: dict[tuple[int, str], tuple[str, ...]] = {}
 
     def apply(self, members: Iterable[Member], homes: Container[str]) -> None:
@@ -72,7 +73,7 @@
             than many parts, and traffic between zones costs money.
         """
         by_id = {member.host_id: member for member in members}
-        by_id[self._own.host_id] = self._own
+        by_id[self.own.host_id] = self.own
         by_zone: dict[str, list[Member]] = {}
         for member in by_id.values():
             by_zone.setdefault(member.availability_zone, []).append(member)
@@ -86,13 +87,13 @@
     def peers(self) -> list[list[Member]]:
         """The other hosts of the cells."""
         return [
-            [member for member in cell if member != self._own]
+            [member for member in cell if member != self.own]
             for cell in self.cells
         ]
 
     def owns(self, service: str) -> bool:
         """Whether this host is the first owner of a service."""
-        return self._ranked(0, service)[0] == self._own.host_id
+        return self._ranked(0, service)[0] == self.own.host_id
 
     def divide(
         self, services: Sequence[str], usable: Container[str]
@@ -116,7 +117,7 @@
         """Return the first cell of which half can be reached."""
         for place, cell in enumerate(self.cells):
             reached = sum(
-                member == self._own or member.host_id in usable
+                member == self.own or member.host_id in usable
                 for member in cell
             )
             if 2 * reached >= len(cell):
@@ -124,7 +125,7 @@
         return 0
 
     def _owner(self, place: int, service: str, usable: Container[str]) -> str:
-        own_id = self._own.host_id
+        own_id = self.own.host_id
         for host_id in self._ranked(place, service):
             if host_id == own_id or host_id in usable:
                 return host_id
@@ -145,18 +146,18 @@
     def _remoteness(self, zone: str) -> tuple[bool, int]:
         """Order zones: the own one, then differently for each host."""
         return (
-            zone != self._own.availability_zone,
-            routing.score(zone, self._own.host_id),
+            zone != self.own.availability_zone,
+            routing.score(zone, self.own.host_id),
         )
 
     def _cell(self, zone: list[Member]) -> tuple[Member, ...]:
         """Return the hosts of a zone that share services with this one."""
         ordered = sorted(zone, key=_place)
         size = math.ceil(len(ordered) / _cell_count(ordered))
-        if self._own in ordered:
-            first = ordered.index(self._own) // size * size
+        if self.own in ordered:
+            first = ordered.index(self.own) // size * size
         else:
-            drawn = routing.score('cell', self._own.host_id)
+            drawn = routing.score('cell', self.own.host_id)
             first = drawn % _cell_count(ordered) * size
         return tuple(ordered[first : first + size])
 
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -82,7 +82,8 @@
         self._usable = peers.usable()
 
     def __contains__(self, host_id: object) -> bool:
-        return self._peers.is_linked(str(host_id)) and host_id in self._usable
+        link = self._peers.link_to(str(host_id))
+        return link is not None and host_id in self._usable
 
 
 class Asker:
@@ -147,11 +148,21 @@
         )
         return True
 
+    @property
+    def cell(self) -> tuple[ownership.Member, ...]:
+        """The linked hosts of the own zone, this one among them, if any."""
+        cell = self.owners.cells[0] if self._homes else ()
+        return cell if self.owners.own in cell else ()
+
+    def reachable(self) -> Container[str]:
+        """Return the other hosts that can be told something now."""
+        return _Linked(self.links)
+
     def start(self, work: gathering.Work, handed_over: Container[str]) -> None:
         """Decide which parts other hosts are asked for."""
         if self.is_on:
             self._delegation.start(
-                work, handed_over, _Linked(self.links), self._clock()
+                work, handed_over, self.reachable(), self._clock()
             )
 
     async def send(self, work: gathering.Work) -> None:
@@ -205,7 +216,7 @@
             self._metrics.increment('host.handed_over_unused')
         if answer.is_last:
             handover.open = False
-            await self.links.end_attempt(handover.host_id, handover.attempt_id)
+            self._forget(handover)
         await self._tier.wake(handover.work)
 
     async def given_up(
@@ -239,11 +250,15 @@
     ) -> None:
         handover.open = False
         ended = wire_pb2.PartsEnd(attempt_id=handover.attempt_id, cancel=cancel)
-        await self.links.end_attempt(
-            handover.host_id,
-            handover.attempt_id,
-            wire_pb2.Envelope(parts_end=ended),
-        )
+        self._forget(handover)
+        link = self.links.link_to(handover.host_id)
+        if link is not None:
+            await post(link, wire_pb2.Envelope(parts_end=ended))
+
+    def _forget(self, handover: delegation.Handover) -> None:
+        link = self.links.link_to(handover.host_id)
+        if link is not None:
+            self.links.forget(link, handover.attempt_id)
 
 
 class PartsServer(abc.ABC):
@@ -260,14 +275,31 @@
         """Ask for parts until the request ends, and report what comes."""
 
 
+class NewsServer(abc.ABC):
+    """Tells other hosts the news of the platform."""
+
+    @abc.abstractmethod
+    async def listen(
+        self, link: hops.WireLink, request: wire_pb2.NewsRequest
+    ) -> None:
+        """Take a host that wants news, or no longer."""
+
+    @abc.abstractmethod
+    def closed(self, link: hops.WireLink) -> None:
+        """Forget a host whose link ended."""
+
+
 class Answerer(hops.HopHandler):
-    """Serves the requests of other hosts for parts."""
+    """Serves the requests of other hosts."""
 
-    def __init__(self, around: context.Context, server: PartsServer) -> None:
+    def __init__(
+        self, around: context.Context, server: PartsServer, news: NewsServer
+    ) -> None:
         """Start without links."""
         super().__init__()
         self.stopping = False
         self._server = server
+        self._news = news
         self._clock = around.clock
         self._metrics = around.metrics
         self._tasks_by_link: dict[hops.WireLink, dict[int, _Serving]] = {}
@@ -282,13 +314,13 @@
         self._tasks_by_link[link] = {}
         await link.post(self.ping())
         if self.stopping:
-            await _post(link, _GOING_AWAY)
+            await post(link, _GOING_AWAY)
 
     async def announce_stop(self) -> None:
         """Let other hosts ask elsewhere from now on."""
         self.stopping = True
         for link in list(self._tasks_by_link):
-            await _post(link, _GOING_AWAY)
+            await post(link, _GOING_AWAY)
 
     async def received(
         self, link: hops.WireLink, message: wire_pb2.Envelope
@@ -299,6 +331,8 @@
                 await self._start(link, message.parts_request)
             case 'parts_end':
                 await self._stop(link, message.parts_end)
+            case 'news_request':
+                await self._news.listen(link, message.news_request)
             case 'ping':
                 await self.take_ping(link, message.ping)
             case 'pong':
@@ -306,6 +340,7 @@
 
     async def closed(self, link: hops.WireLink) -> None:
         """Stop what a host asked for that is gone."""
+        self._news.closed(link)
         for serving in self._tasks_by_link.pop(link, {}).values():
             await serving.stop(cancel=True)
 
@@ -356,7 +391,7 @@
         if self.work.is_abandoned:
             return
         answer = self.work.take_news(self.attempt_id, is_last=is_last)
-        await _post(self._link, wire_pb2.Envelope(parts_answer=answer))
+        await post(self._link, wire_pb2.Envelope(parts_answer=answer))
 
     async def stop(self, *, cancel: bool) -> None:
         """End the request, since nobody waits for it."""
@@ -366,7 +401,7 @@
 _GOING_AWAY = wire_pb2.Envelope(going_away=wire_pb2.GoingAway())
 
 
-async def _post(link: hops.WireLink, envelope: wire_pb2.Envelope) -> None:
+async def post(link: hops.WireLink, envelope: wire_pb2.Envelope) -> None:
     """Send a message; the end of a link is noticed by its own task."""
     try:
         await link.post(envelope)
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -10,7 +10,14 @@
 import urllib.parse
 from typing import Any
 
-from cardamomflow import errors, ownership, routes, sources, webclient
+from cardamomflow import (
+    errors,
+    jsonbody,
+    ownership,
+    routes,
+    sources,
+    webclient,
+)
 from cardamomflow.platform import channel, documents, wire
 
 DEFAULT_TIMEOUT_S = 1.0
@@ -54,7 +61,11 @@
             raise errors.HistoryLost(
                 f'the changes after revision {revision} are not kept'
             )
-        document = reply.json()
+        return self.parse(reply.body)
+
+    def parse(self, content: bytes) -> sources.News:
+        """Return changes as a watch has told them."""
+        document = jsonbody.parse_object(content, errors.ProtocolViolation)
         events = _rows(document, 'events')
         hosts = _hosts(events)
         if any(
@@ -69,6 +80,7 @@
             _entries(events),
             hosts,
             _number(document, 'as_of'),
+            content,
         )
 
     async def announce_host(
--- a/cardamomflow/sources.py
+++ b/cardamomflow/sources.py
@@ -55,12 +55,15 @@
     hosts : list of ListedHost
     revision : int
         From which to watch.
+    content : bytes
+        The same in the form of the platform, for `Source.parse`.
     """
 
     table: routes.RouteTable | None
     entries: list[Listed]
     hosts: list[ListedHost]
     revision: int
+    content: bytes = b''
 
 
 class Source(abc.ABC):
@@ -83,6 +86,16 @@
             All has to be read again.
         """
 
+    @abc.abstractmethod
+    def parse(self, content: bytes) -> News:
+        """Return changes that another host has heard.
+
+        Raises
+        ------
+        errors.ProtocolViolation
+            They can not be read.
+        """
+
     @abc.abstractmethod
     async def announce_host(
         self, member: ownership.Member, ttl_s: float
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -99,6 +99,7 @@
         parts = daemons.create_host(
             context.create(settings), self._store_client
         )
+        self.parts = parts
         self.host = parts.program
         self.follower = parts.follower
         self.front_port = await self._serve(parts.callers)
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -57,7 +57,7 @@
     def usable(self):
         return {'a'}
 
-    def is_linked(self, aggregator_id):
+    def link_to(self, aggregator_id):
         return True
 
     def forget(self, link, attempt_id):
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from cardamomflow import delegation, following
+from cardamomflow import delegation, errors, following, newsrelay, routing
 from cardamomflow.platform import wire
 from tests import hostworld, loops
 
@@ -53,6 +53,25 @@
             service['max_connections'] = 5
         self.store.put('op/config', document)
 
+    def hosts(self):
+        return [self.parts, *self.others]
+
+    def parts_by_id(self):
+        return {
+            parts.program.settings['host']['id']: parts
+            for parts in self.hosts()
+        }
+
+    def first(self):
+        """Return the id of the host that the others should hear."""
+        return min(
+            self.parts_by_id(),
+            key=lambda host_id: routing.score('news', host_id),
+        )
+
+    def tellers(self):
+        return {parts.news._listening.teller for parts in self.hosts()}
+
     def _is_linked(self):
         programs = [self.host, *(parts.program for parts in self.others)]
         return all(
@@ -214,3 +233,73 @@
             return counted(world.others[0].program, 'host.taken_over') - before
 
         self.assertEqual(play(scenario), 1)
+
+
+class NewsTest(unittest.TestCase):
+    """Hosts that hear the platform through each other."""
+
+    def test_one_host_of_a_zone_asks_the_platform(self):
+        """Guards against calls that grow with the number of hosts."""
+
+        async def scenario(world):
+            hosts = world.hosts()
+            await loops.until(lambda: world.tellers() == {None, world.first()})
+            before = world.store.calls_by_kind['kv-watch']
+            await curio.sleep(1.0)
+            calls = world.store.calls_by_kind['kv-watch'] - before
+            world.publish(2, '/search/')
+            await loops.until(
+                lambda: all(
+                    parts.program._table.revision == 2 for parts in hosts
+                ),
+                limit_s=1,
+            )
+            return calls
+
+        self.assertLessEqual(play(scenario), 2)
+
+    def test_silent_teller_is_replaced(self):
+        """Guards against changes that a frozen host keeps from others."""
+
+        async def scenario(world):
+            await loops.until(lambda: world.tellers() == {None, world.first()})
+            first = world.parts_by_id()[world.first()]
+            first.news._listeners.clear()
+            world.publish(2, '/search/')
+            others = [parts for parts in world.hosts() if parts is not first]
+            await loops.until(
+                lambda: all(
+                    parts.program._table.revision == 2 for parts in others
+                ),
+                limit_s=newsrelay.FRESH_S + 0.5,
+            )
+            return True
+
+        self.assertTrue(play(scenario))
+
+    def test_teller_without_platform_is_replaced(self):
+        """Guards against a zone that trusts the one host that is cut off."""
+
+        async def scenario(world):
+            await loops.until(lambda: world.tellers() == {None, world.first()})
+            first = world.parts_by_id()[world.first()]
+
+            async def fail(*_):
+                raise errors.PlatformUnavailable('cut off')
+
+            first.follower._source.watch = fail
+            others = [parts for parts in world.hosts() if parts is not first]
+            await loops.until(
+                lambda: world.first() not in world.tellers(),
+                limit_s=newsrelay.FRESH_S + 0.5,
+            )
+            world.publish(2, '/search/')
+            await loops.until(
+                lambda: all(
+                    parts.program._table.revision == 2 for parts in others
+                ),
+                limit_s=1,
+            )
+            return True
+
+        self.assertTrue(play(scenario))
