Close the links between hosts at a planned stop

Cause: a host that stopped ended its loop with links open.

Change: after callers' requests those of other hosts are finished, then all links are closed, within the time that the platform leaves.

Ruled out: closing links before the requests of other hosts have ended.

Figures: the test stops a process that is linked to two hosts and dials 20 that take no connection.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -38,6 +38,8 @@
 HOST_DRAIN_DELAY_S = 2.5
 # Kept back from the time until the platform kills the process.
 STOP_MARGIN_S = 0.5
+# For the last frames to other hosts, which answer the end of a link at once.
+LINKS_CLOSE_S = 0.8
 _ACCEPT_RETRY_S = 0.05
 _MS = 1000
 
@@ -245,13 +247,28 @@
     stop_within_s = parts.program.settings.get(
         'stop_within_s', DEFAULT_STOP_WITHIN_S
     )
-    clean = await parts.callers.wait_idle(
-        max(0, stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S)
+    clean = await _finish_requests(
+        around, parts, stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S
     )
     await parts.program.transport.close()
     return _end(around, clean=clean and healthy)
 
 
+async def _finish_requests(
+    around: context.Context, parts: HostParts, left_s: float
+) -> bool:
+    """Finish what callers and other hosts asked; tell if all was."""
+    work_s = max(0, left_s - LINKS_CLOSE_S)
+    ends_at = around.clock() + work_s
+    clean = await parts.callers.wait_idle(work_s)
+    async with curio.ignore_after(max(0, ends_at - around.clock())):
+        await parts.answerer.wait_idle()
+    async with curio.ignore_after(LINKS_CLOSE_S):
+        await parts.answerer.stop()
+        await parts.program.asker.links.stop()
+    return clean and parts.answerer.is_idle
+
+
 def _advertised(settings: Any, port: int) -> tuple[str, int]:
     """Return where others reach a process that listens on a port."""
     listening = {'address': settings['listen']['address'], 'port': port}
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -27,6 +27,7 @@
 # Time for which a host whose entry vanished stays an owner; an outage of the
 # platform with its catching up is shorter.
 MEMBER_HOLD_S = 30.0
+_CLOSE_POLL_S = 0.02
 
 
 class Tier(abc.ABC):
@@ -298,6 +299,7 @@
         """Start without links."""
         super().__init__()
         self.stopping = False
+        self._closing = False
         self._server = server
         self._news = news
         self._clock = around.clock
@@ -313,7 +315,9 @@
         """Greet a host, which waits for the first frame."""
         self._tasks_by_link[link] = {}
         await link.post(self.ping())
-        if self.stopping:
+        if self._closing:
+            await link.close()
+        elif self.stopping:
             await post(link, _GOING_AWAY)
 
     async def announce_stop(self) -> None:
@@ -322,6 +326,22 @@
         for link in list(self._tasks_by_link):
             await post(link, _GOING_AWAY)
 
+    async def wait_idle(self) -> None:
+        """Wait until no request of another host is in progress."""
+        while not self.is_idle:
+            await curio.sleep(_CLOSE_POLL_S)
+
+    async def stop(self) -> None:
+        """Close all links, once no request is in progress.
+
+        A link that ends starts a task, which the end of the loop forbids.
+        """
+        self._closing = True
+        for link in list(self._tasks_by_link):
+            await link.close()
+        while self._tasks_by_link:
+            await curio.sleep(_CLOSE_POLL_S)
+
     async def received(
         self, link: hops.WireLink, message: wire_pb2.Envelope
     ) -> None:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -1,19 +1,28 @@
 """Hosts that hand parts of queries to each other, over real sockets."""
 
 import collections
+import contextlib
 import json
+import pathlib
+import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 from unittest import mock
 
 import curio
+import yaml
 
 from cardamomflow import delegation, errors, following, newsrelay, routing
 from cardamomflow.platform import wire
+from standins import users
 from tests import hostworld, loops
 
 SERVICES = tuple(f's{number:02}' for number in range(30))
 TARGET = '/lookup/x'
+PROGRAM = (sys.executable, '-m', 'cardamomflow', 'host')
 
 
 def free_address():
@@ -22,6 +31,20 @@
         return f'127.0.0.1:{probe.getsockname()[1]}'
 
 
+@contextlib.contextmanager
+def silent_address():
+    """Yield an address that takes no connection and refuses none."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for _ in range(4):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        yield f'127.0.0.1:{listener.getsockname()[1]}'
+
+
 def counted(host, name):
     return host._metrics.totals_by_name[name]
 
@@ -235,6 +258,50 @@
         self.assertEqual(play(scenario), 1)
 
 
+class StopTest(unittest.TestCase):
+    def test_stopping_process_ends_its_links(self):
+        """Guards against a planned stop that ends with a failure."""
+
+        async def scenario(world):
+            settings = users.host_settings(
+                'host-4',
+                'z1',
+                world.store_port,
+                peers=free_address(),
+                stop_within_s=4,
+            )
+            with contextlib.ExitStack() as stack:
+                folder = stack.enter_context(tempfile.TemporaryDirectory())
+                path = pathlib.Path(folder) / 'host.yaml'
+                path.write_text(yaml.safe_dump(settings))
+                process = subprocess.Popen(  # noqa: ASYNC220  # starts at once
+                    [*PROGRAM, '--settings', path],
+                    stdout=subprocess.DEVNULL,
+                    stderr=subprocess.PIPE,
+                )
+                linked = world.host.asker.links
+                await loops.until(lambda: 'host-4' in linked.connected, 15)
+                # Links to these are tried again and again, also at the end.
+                silent = stack.enter_context(silent_address())
+                for number in range(20):
+                    world.store.put(
+                        f'hosts/lost-{number}',
+                        {
+                            'availability_zone': 'z1',
+                            'peers': silent,
+                            'capacity': 1.0,
+                        },
+                    )
+                await curio.sleep(1.0)
+                process.send_signal(signal.SIGTERM)
+                await loops.until(lambda: process.poll() is not None, 8)
+                return process.returncode, process.stderr.read().decode()
+
+        status, told = play(scenario)
+        self.assertNotIn('Traceback', told)
+        self.assertEqual(status, 0)
+
+
 class NewsTest(unittest.TestCase):
     """Hosts that hear the platform through each other."""
 
