Leave services that a zone lacks to a few hosts of another one

Cause: a service has three backend servers in four zones, so a quarter of the calls of a query crossed zones one by one, about 650 bytes each, where money is paid for bytes between zones.

Change: the services without backend server in a zone are owned by eight hosts of one other zone, the same for all hosts of the zone. If half of them can not be reached, the owners of the own zone ask.

Ruled out: one owner in the other zone for each service as for near ones (16 messages with two services each are no fewer bytes); all of the other zone's hosts by turns (each would keep connections to all backend servers).

--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -65,6 +65,14 @@
             if 2 * len(present) > len(services)
         )
 
+    def absent_from(self, zone: str, services: Iterable[str]) -> frozenset[str]:
+        """Return services without backend server in a zone."""
+        return frozenset(
+            service
+            for service in services
+            if not self.in_zone(self.usable(service), zone)
+        )
+
     def outage(self, now: float) -> None:
         """Note that the platform does not answer, or has just returned."""
         self.hold_until(now + LAPSE_HOLD_S)
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -131,8 +131,11 @@
 
     async def members_listed(self, members: Iterable[ownership.Member]) -> None:
         """Take the hosts that parts of queries can be handed to."""
-        homes = self.directory.zones_of_most(self._dispatcher.handed_over)
-        if await self.asker.apply(members, homes):
+        shared = self._dispatcher.handed_over
+        homes = self.directory.zones_of_most(shared)
+        zone = self.settings['host']['availability_zone']
+        distant = self.directory.absent_from(zone, shared)
+        if await self.asker.apply(members, homes, distant):
             self._share_with(self._hosts)
 
     def take_settings(self, document: Any) -> reloading.Taken:
--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -18,6 +18,10 @@
 MAX_CELL_HOSTS = 24
 # Owners that are tried for a service before this host asks itself.
 TRIED_OWNERS = 3
+# Hosts of another zone that own the services which the own zone lacks. With
+# more, their merged answers get as large as the parts; with fewer, these hosts
+# get too much work.
+DISTANT_OWNERS = 8
 _SCORES = 1 << 64  # noqa: WPS432  # scores have 64 bits
 
 
@@ -49,6 +53,8 @@
     own : Member
     owners : int
         Hosts of the fleet that ask for one service, if all see the same.
+    distant_owners : tuple of Member
+        Hosts of another zone that own what the own zone lacks.
     cells : list of tuple of Member
         Groups of hosts that share the services; the first one whose hosts can
         be reached is asked.
@@ -59,18 +65,31 @@
         self.owners = 1
         self.cells: list[tuple[Member, ...]] = [(own,)]
         self.own = own
-        self._ranked_by_key: dict[tuple[int, str], tuple[str, ...]] = {}
-
-    def apply(self, members: Iterable[Member], homes: Container[str]) -> None:
+        self.distant_owners: tuple[Member, ...] = ()
+        self._zone = own.availability_zone
+        self._distant: Container[str] = ()
+        self._ranked_by_key: dict[tuple[bool, str, str], tuple[str, ...]] = {}
+
+    def apply(
+        self,
+        members: Iterable[Member],
+        homes: Container[str],
+        distant: Container[str] = (),
+    ) -> None:
         """Take the hosts that are listed, with or without this one.
 
+        One merged answer is less than many parts, and traffic between zones
+        costs money.
+
         Parameters
         ----------
         members : iterable of Member
         homes : container of str
             Zones with backend servers of the services. Hosts of other zones
-            hand all parts to one of these, since one merged answer is less
-            than many parts, and traffic between zones costs money.
+            hand all parts to one of these.
+        distant : container of str
+            Services without backend server in the own zone. A few hosts of
+            another zone are their owners.
         """
         by_id = {member.host_id: member for member in members}
         by_id[self.own.host_id] = self.own
@@ -81,19 +100,25 @@
         used.sort(key=self._remoteness)
         self.cells = [self._cell(by_zone[zone]) for zone in used]
         self.owners = sum(_cell_count(by_zone[zone]) for zone in used)
+        self.distant_owners = self._choose_distant(
+            [by_zone[zone] for zone in used if zone != self._zone]
+        )
+        self._distant = distant
         self._ranked_by_key.clear()
 
     @property
     def peers(self) -> list[list[Member]]:
-        """The other hosts of the cells."""
-        return [
+        """The other hosts of the cells, first those that are asked."""
+        groups = [
             [member for member in cell if member != self.own]
             for cell in self.cells
         ]
+        groups[0] = list(dict.fromkeys((*groups[0], *self.distant_owners)))
+        return groups
 
     def owns(self, service: str) -> bool:
         """Whether this host is the first owner of a service."""
-        return self._ranked(0, service)[0] == self.own.host_id
+        return self._ranked(self.cells[0], service)[0] == self.own.host_id
 
     def divide(
         self, services: Sequence[str], usable: Container[str]
@@ -106,47 +131,77 @@
         usable : container of str
             Ids of other hosts that can be asked now.
         """
-        place = self._first_usable(usable)
+        near = self._first_usable(usable)
+        is_distant_usable = self._is_usable(self.distant_owners, usable)
         services_by_host: dict[str, list[str]] = {}
         for service in services:
-            owner = self._owner(place, service, usable)
+            is_distant = is_distant_usable and service in self._distant
+            cell = self.distant_owners if is_distant else near
+            owner = self._owner(cell, service, usable)
             services_by_host.setdefault(owner, []).append(service)
         return services_by_host
 
-    def _first_usable(self, usable: Container[str]) -> int:
+    def _first_usable(self, usable: Container[str]) -> tuple[Member, ...]:
         """Return the first cell of which half can be reached."""
-        for place, cell in enumerate(self.cells):
-            reached = sum(
-                member == self.own or member.host_id in usable
-                for member in cell
-            )
-            if 2 * reached >= len(cell):
-                return place
-        return 0
-
-    def _owner(self, place: int, service: str, usable: Container[str]) -> str:
+        for cell in self.cells:
+            if self._is_usable(cell, usable):
+                return cell
+        return self.cells[0]
+
+    def _is_usable(
+        self, cell: tuple[Member, ...], usable: Container[str]
+    ) -> bool:
+        reached = sum(
+            member == self.own or member.host_id in usable for member in cell
+        )
+        return reached > 0 and 2 * reached >= len(cell)
+
+    def _owner(
+        self,
+        cell: tuple[Member, ...],
+        service: str,
+        usable: Container[str],
+    ) -> str:
         own_id = self.own.host_id
-        for host_id in self._ranked(place, service):
+        for host_id in self._ranked(cell, service):
             if host_id == own_id or host_id in usable:
                 return host_id
         return own_id
 
-    def _ranked(self, place: int, service: str) -> tuple[str, ...]:
+    def _ranked(
+        self, cell: tuple[Member, ...], service: str
+    ) -> tuple[str, ...]:
         """Return the first owners of a service, the best one first."""
-        ranked = self._ranked_by_key.get((place, service))
+        key = (cell is self.distant_owners, cell[0].host_id, service)
+        ranked = self._ranked_by_key.get(key)
         if ranked is None:
             best = sorted(
-                self.cells[place],
+                cell,
                 key=lambda member: _distance(service, member),
             )[:TRIED_OWNERS]
             ranked = tuple(member.host_id for member in best)
-            self._ranked_by_key[(place, service)] = ranked
+            self._ranked_by_key[key] = ranked
         return ranked
 
+    def _choose_distant(self, zones: list[list[Member]]) -> tuple[Member, ...]:
+        """Return the owners of distant services, alike for a whole zone."""
+        if not zones:
+            return ()
+        chosen = min(
+            zones,
+            key=lambda zone: routing.score(
+                zone[0].availability_zone, self._zone
+            ),
+        )
+        ranked = sorted(
+            chosen, key=lambda member: _distance(self._zone, member)
+        )
+        return tuple(ranked[:DISTANT_OWNERS])
+
     def _remoteness(self, zone: str) -> tuple[bool, int]:
         """Order zones: the own one, then differently for each host."""
         return (
-            zone != self.own.availability_zone,
+            zone != self._zone,
             routing.score(zone, self.own.host_id),
         )
 
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -27,6 +27,7 @@
 # Time for which a host whose entry vanished stays an owner; an outage of the
 # platform with its catching up is shorter.
 MEMBER_HOLD_S = 30.0
+_View = tuple[set[ownership.Member], frozenset[str], frozenset[str]]
 _CLOSE_POLL_S = 0.02
 
 
@@ -101,12 +102,15 @@
         self._metrics = around.metrics
         self._journal = around.journal
         self._delegation = delegation.Delegation(self.owners, self._own_id)
-        self._members: set[ownership.Member] = set()
-        self._homes: frozenset[str] = frozenset()
+        # What the owners were chosen from.
+        self._view: _View = (set(), frozenset(), frozenset())
         self._listed_until: dict[ownership.Member, float] = {}
 
     async def apply(
-        self, members: Iterable[ownership.Member], homes: frozenset[str]
+        self,
+        members: Iterable[ownership.Member],
+        homes: frozenset[str],
+        distant: frozenset[str],
     ) -> bool:
         """Take the hosts that are listed; tell whether owners changed.
 
@@ -119,6 +123,8 @@
         members : iterable of ownership.Member
         homes : frozenset of str
             Zones with backend servers whose parts are handed over.
+        distant : frozenset of str
+            Services that have none in the own zone.
         """
         if not self.is_on:
             return False
@@ -130,14 +136,14 @@
             for member, until in self._listed_until.items()
             if until > now
         }
-        if known == self._members and homes == self._homes:
+        view = (known, homes, distant)
+        if view == self._view:
             return False
-        self._members = known
-        self._homes = homes
+        self._view = view
         self._listed_until = {
             member: self._listed_until[member] for member in known
         }
-        self.owners.apply(known, homes)
+        self.owners.apply(known, homes, distant)
         # Without shared services no host needs a link.
         cells = self.owners.peers if homes else []
         await self.links.apply(
@@ -152,7 +158,8 @@
     @property
     def cell(self) -> tuple[ownership.Member, ...]:
         """The linked hosts of the own zone, this one among them, if any."""
-        cell = self.owners.cells[0] if self._homes else ()
+        _, homes, _ = self._view
+        cell = self.owners.cells[0] if homes else ()
         return cell if self.owners.own in cell else ()
 
     def reachable(self) -> Container[str]:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -112,6 +112,32 @@
         zones = {host_id.partition('-')[0] for host_id in divided}
         self.assertEqual(zones, {'z1', 'z2'} - {first})
 
+    def test_distant_services_go_to_few_hosts_of_one_zone(self):
+        """Guards against parts that cross zones one by one."""
+        hosts = [
+            member(f'{zone}-{number}', zone)
+            for zone in ('z1', 'z2')
+            for number in range(16)
+        ]
+        owners = ownership.Ownership(hosts[0])
+        distant = frozenset(SERVICES[:100])
+        owners.apply(hosts, {'z1', 'z2'}, distant)
+        divided = owners.divide(SERVICES, everybody(hosts))
+        elsewhere = {
+            host_id: services
+            for host_id, services in divided.items()
+            if host_id.startswith('z2')
+        }
+        self.assertEqual(len(elsewhere), ownership.DISTANT_OWNERS)
+        self.assertEqual(
+            {one for services in elsewhere.values() for one in services},
+            distant,
+        )
+        near = {one.host_id for one in hosts if one.host_id[:2] == 'z1'}
+        self.assertEqual(
+            set(owners.divide(SERVICES, near)) & set(elsewhere), set()
+        )
+
     def test_single_host_asks_all_itself(self):
         """Guards against a fleet that can not start with one host."""
         owners = owners_of(self.hosts[0], [])
