Refuse requests for parts without a rank

Cause: a message of rank 0, as of another version, raised ValueError, which the task of a link does not catch. Change: it is a violation of the protocol, which ends the link. Ruled out: a default rank, which would put work in front of others unseen. Figures: the test fails before (ValueError) and passes after; found by reading.

--- a/cardamomflow/parts.py
+++ b/cardamomflow/parts.py
@@ -148,7 +148,7 @@
     Raises
     ------
     errors.ProtocolViolation
-        The message names no services, or one of them twice.
+        The message names no services, one of them twice, or no rank.
     """
     services = tuple(request.services)
     if not services or len(set(services)) != len(services):
@@ -166,7 +166,7 @@
             attempts=request.attempts,
             timeout_s=budget_s,
             target_s=request.target_us / _US_PER_S,
-            rank=rules.Rank(request.rank),
+            rank=_rank_of(request),
             limit=request.limit,
             minimum_share=0,
         ),
@@ -217,6 +217,15 @@
     return True
 
 
+def _rank_of(request: wire_pb2.PartsRequest) -> rules.Rank:
+    try:
+        return rules.Rank(request.rank)
+    except ValueError as error:
+        raise errors.ProtocolViolation(
+            f'a host asked for parts of rank {request.rank}'
+        ) from error
+
+
 def _reply(stamp: str, records: bytes) -> gathering.Reply:
     return gathering.Reply(
         status=_OK,
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -173,10 +173,10 @@
         )
         self.assertLess(self.work.answer_at - 5.0, self.asked.answer_at - 0.01)
 
-    def test_request_without_services_is_refused(self):
+    def test_request_without_services_or_rank_is_refused(self):
         """Guards against a peer of another version."""
-        for services in ([], ['a', 'a']):
-            request = wire_pb2.PartsRequest(services=services, rank=1)
+        for services, rank in (([], 1), (['a', 'a'], 1), (['a'], 0)):
+            request = wire_pb2.PartsRequest(services=services, rank=rank)
             with self.assertRaises(parts.errors.ProtocolViolation):
                 parts.work_of(request, 0.0)
 
