Count a teller's loss of the platform from its first failed call

Cause: the test let later calls of the teller fail, but the one in progress still ended well up to 1 s later, so the news were fresh for 3.6 s while the test allowed 3.1 s.

Change: the bound of 3.1 s is unchanged and counts from the first call that failed.

Ruled out: a longer bound; listeners that keep a teller too long (they give it up 2.6 s after the platform was heard).

--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -351,10 +351,15 @@
             await loops.until(lambda: world.tellers() == {None, world.first()})
             first = world.parts_by_id()[world.first()]
 
+            failed = curio.Event()
+
             async def fail(*_):
+                await failed.set()
                 raise errors.PlatformUnavailable('cut off')
 
             first.follower._source.watch = fail
+            # The call in progress still ends well.
+            await failed.wait()
             others = [parts for parts in world.hosts() if parts is not first]
             await loops.until(
                 lambda: world.first() not in world.tellers(),
