--- a/cardamomflow/following.py
+++ b/cardamomflow/following.py
@@ -32,7 +32,8 @@
 # Without the pause each host that starts is a call of every other one.
 GATHER_CHANGES_S = 0.3
 # Changes in one answer that mean that more may wait: after an outage a host
-# asks for the rest at once. At one answer in 0.3 s it took 12 s to catch up.
+# asks for the rest at once. With pauses some hosts used routes of before the
+# outage 5 s after its end.
 LARGE_BATCH = 20
 PROBE_WAIT_S = 0.05
 # Waits between calls that fail: enough for a store that answers in
