Create the hosts of tests in one place

Cause: HostWorld created its own host and further ones by two copies of the same settings, and three tests waited for routes in force by the same loop.

Ruled out: one loop for all waits of the file, whose conditions differ.

--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -60,21 +60,7 @@
 
     async def add_host(self, host_id, **settings):
         """Start a further host, which takes parts of queries."""
-        client = kvstore.KvStore('127.0.0.1', self.store_port, 0.5)
-        parts = daemons.create_host(
-            context.create(
-                users.host_settings(
-                    host_id,
-                    'z1',
-                    self.store_port,
-                    retry_share=1.0,
-                    retry_burst=100,
-                    log={'level': 'error'},
-                    **settings,
-                )
-            ),
-            client,
-        )
+        parts, client = self._create_host(host_id, settings)
         self._stack.push_async_callback(client.close)
         self._stack.push_async_callback(parts.program.transport.close)
         await self._serve(parts.callers)
@@ -84,21 +70,23 @@
             self._stack.push_async_callback(task.cancel)
         return parts
 
-    async def start_host(self, store_port):
-        """Start the host in this loop."""
-        settings = users.host_settings(
-            'host-1',
+    def _create_host(self, host_id, settings):
+        """Return the parts of a host and its client of the store."""
+        client = kvstore.KvStore('127.0.0.1', self.store_port, 0.5)
+        created = users.host_settings(
+            host_id,
             'z1',
-            store_port,
+            self.store_port,
             retry_share=1.0,
             retry_burst=100,
             log={'level': 'error'},
-            **self._settings,
-        )
-        self._store_client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
-        parts = daemons.create_host(
-            context.create(settings), self._store_client
+            **settings,
         )
+        return daemons.create_host(context.create(created), client), client
+
+    async def start_host(self, store_port):
+        """Start the host in this loop."""
+        parts, self._store_client = self._create_host('host-1', self._settings)
         self.parts = parts
         self.host = parts.program
         self.follower = parts.follower
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -33,7 +33,7 @@
     def setUp(self):
         owners = ownership.Ownership(HOSTS[0])
         owners.apply(HOSTS, {'z1'})
-        self.delegation = delegation.Delegation(owners, 'h0')
+        self.delegation = delegation.Delegation(owners)
 
     def start(self, usable=OTHERS, now=0.0, **changes):
         work = make_work(now=now, **changes)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -104,6 +104,14 @@
         )
 
 
+async def until_in_force(hosts, limit_s):
+    """Wait until hosts have the second routes."""
+    await loops.until(
+        lambda: all(parts.program._table.revision == 2 for parts in hosts),
+        limit_s=limit_s,
+    )
+
+
 def play(scenario):
     with mock.patch.object(following, 'ANNOUNCE_INTERVAL_S', 0.1):
         return hostworld.play(scenario, FleetWorld)
@@ -315,12 +323,7 @@
             await curio.sleep(1.0)
             calls = world.store.calls_by_kind['kv-watch'] - before
             world.publish(2, '/search/')
-            await loops.until(
-                lambda: all(
-                    parts.program._table.revision == 2 for parts in hosts
-                ),
-                limit_s=1,
-            )
+            await until_in_force(hosts, 1)
             return calls
 
         self.assertLessEqual(play(scenario), 2)
@@ -334,12 +337,7 @@
             first.news._listeners.clear()
             world.publish(2, '/search/')
             others = [parts for parts in world.hosts() if parts is not first]
-            await loops.until(
-                lambda: all(
-                    parts.program._table.revision == 2 for parts in others
-                ),
-                limit_s=newsrelay.FRESH_S + 0.5,
-            )
+            await until_in_force(others, newsrelay.FRESH_S + 0.5)
             return True
 
         self.assertTrue(play(scenario))
@@ -366,12 +364,7 @@
                 limit_s=newsrelay.FRESH_S + 0.5,
             )
             world.publish(2, '/search/')
-            await loops.until(
-                lambda: all(
-                    parts.program._table.revision == 2 for parts in others
-                ),
-                limit_s=1,
-            )
+            await until_in_force(others, 1)
             return True
 
         self.assertTrue(play(scenario))
