Keep one piece of code for avoided members, quiet posts and settled work

Cause: three modules kept their own times until which somebody is avoided; two posted to a link that may be closed by the same lines; the work for other hosts repeated when a request is settled; occupancy and extraload each checked that a service has owners; two loops over the same backend servers told zones and absent services; ids of the own host were passed beside the member that has them.

Change: avoidance, Link.post_if_open, Work.is_settled, Directory.services_by_zone; a dispatcher without owners hands nothing over. Methods that only passed on a call are gone. Behaviour is the same.

Ruled out: the quiet posts of aggregator and localserver, which also pass over frames that are too large; a common frame for run and run_parts, which differ in what follows the end.

--- a/cardamomflow/delegation.py
+++ b/cardamomflow/delegation.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Container
 
-from cardamomflow import gathering, ownership, routes
+from cardamomflow import avoidance, gathering, ownership, routes
 
 # A query over fewer services costs less when one host asks them all.
 MINIMUM_SERVICES = 24
@@ -90,24 +90,28 @@
     """Hosts that can be reached and were not silent lately."""
 
     def __init__(
-        self, reachable: Container[str], avoided: Container[str]
+        self,
+        reachable: Container[str],
+        avoided: avoidance.Avoidance,
+        now: float,
     ) -> None:
         self._reachable = reachable
         self._avoided = avoided
+        self._now = now
 
     def __contains__(self, host_id: object) -> bool:
-        return host_id in self._reachable and host_id not in self._avoided
+        is_avoided = self._avoided.is_avoided(str(host_id), self._now)
+        return host_id in self._reachable and not is_avoided
 
 
 class Delegation:
     """Handovers of one host."""
 
-    def __init__(self, owners: ownership.Ownership, own_id: str) -> None:
+    def __init__(self, owners: ownership.Ownership) -> None:
         """Start without any handover."""
         self._owners = owners
-        self._own_id = own_id
         self._attempt_ids = itertools.count(1)
-        self._avoided_until: dict[str, float] = {}
+        self._avoided = avoidance.Avoidance()
 
     def start(
         self,
@@ -133,9 +137,9 @@
         if len(legs_by_service) < MINIMUM_SERVICES:
             return []
         services_by_host = self._owners.divide(
-            list(legs_by_service), _Usable(reachable, self._avoided(now))
+            list(legs_by_service), _Usable(reachable, self._avoided, now)
         )
-        services_by_host.pop(self._own_id, None)
+        services_by_host.pop(self._owners.own.host_id, None)
         work.handovers = [
             Handover(
                 next(self._attempt_ids),
@@ -188,7 +192,7 @@
     def heard(self, handover: Handover) -> None:
         """Note an answer of a host."""
         handover.heard = True
-        self._avoided_until.pop(handover.host_id, None)
+        self._avoided.forget(handover.host_id)
 
     def lost(self, handover: Handover, now: float) -> None:
         """Note that a host will not answer."""
@@ -196,17 +200,7 @@
         self._avoid(handover, now)
 
     def _avoid(self, handover: Handover, now: float) -> None:
-        self._avoided_until[handover.host_id] = now + AVOIDED_S
-
-    def _avoided(self, now: float) -> set[str]:
-        over = [
-            host_id
-            for host_id, until in self._avoided_until.items()
-            if until <= now
-        ]
-        for host_id in over:
-            self._avoided_until.pop(host_id)
-        return set(self._avoided_until)
+        self._avoided.avoid(handover.host_id, now + AVOIDED_S, now)
 
 
 def _is_waited_for(handover: Handover) -> bool:
--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -5,7 +5,7 @@
 time, in which its backend server is listed again if it lives.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cardamomflow import register
@@ -52,26 +52,14 @@
             if self.backends_by_id[backend_id].availability_zone == zone
         }
 
-    def zones_of_most(self, services: Collection[str]) -> frozenset[str]:
-        """Return the zones with backend servers of most of some services."""
-        services_by_zone: dict[str, set[str]] = {}
+    def services_by_zone(self, services: Iterable[str]) -> dict[str, set[str]]:
+        """Return those of some services with backend servers, by zone."""
+        found: dict[str, set[str]] = {}
         for service in services:
             for backend_id in self.usable(service):
                 zone = self.backends_by_id[backend_id].availability_zone
-                services_by_zone.setdefault(zone, set()).add(service)
-        return frozenset(
-            zone
-            for zone, present in services_by_zone.items()
-            if 2 * len(present) > len(services)
-        )
-
-    def absent_from(self, zone: str, services: Iterable[str]) -> frozenset[str]:
-        """Return services without backend server in a zone."""
-        return frozenset(
-            service
-            for service in services
-            if not self.in_zone(self.usable(service), zone)
-        )
+                found.setdefault(zone, set()).add(service)
+        return found
 
     def outage(self, now: float) -> None:
         """Note that the platform does not answer, or has just returned."""
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -82,9 +82,11 @@
         self._sharing = sharing
         self.occupancy.share(sharing.hosts, sharing.owners)
         if self._table is not None:
-            self.handed_over = delegation.choose_services(
-                self._table, sharing.hosts
-            )
+            self.handed_over = frozenset()
+            if sharing.owners:
+                self.handed_over = delegation.choose_services(
+                    self._table, sharing.hosts
+                )
             self.occupancy.apply(
                 self._table.connections_by_service, self.handed_over
             )
--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -50,7 +50,7 @@
         keep theirs for parts whose owner does not answer.
         """
         equal = self.extra_burst / self.hosts
-        if not is_handed_over or not self.owners:
+        if not is_handed_over:
             return equal
         of_owner = self.extra_burst / self.owners if self.owns(service) else 0
         return (equal + of_owner) / 2
--- a/cardamomflow/gathering.py
+++ b/cardamomflow/gathering.py
@@ -269,9 +269,14 @@
         self.failed = 0
         self.needed = route.needed_parts
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing more is waited for."""
+        return self.ended or self.answered + self.failed >= len(self.legs)
+
     def is_finished(self, now: float) -> bool:
         """Whether the answer has to leave now."""
-        if self.ended or self.answered + self.failed >= len(self.legs):
+        if self.is_settled:
             return True
         if len(self.legs) - self.failed < self.needed:
             return True
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -132,9 +132,14 @@
     async def members_listed(self, members: Iterable[ownership.Member]) -> None:
         """Take the hosts that parts of queries can be handed to."""
         shared = self._dispatcher.handed_over
-        homes = self.directory.zones_of_most(shared)
-        zone = self.settings['host']['availability_zone']
-        distant = self.directory.absent_from(zone, shared)
+        present_by_zone = self.directory.services_by_zone(shared)
+        homes = frozenset(
+            zone
+            for zone, present in present_by_zone.items()
+            if 2 * len(present) > len(shared)
+        )
+        own_zone = self.settings['host']['availability_zone']
+        distant = shared - present_by_zone.get(own_zone, set())
         if await self.asker.apply(members, homes, distant):
             self._share_with(self._hosts)
 
--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -106,6 +106,19 @@
         await self._wake.set()
         return start
 
+    async def post_if_open(self, message: MessageT) -> None:
+        """Queue a message; the end of a link is noticed by its own task.
+
+        Raises
+        ------
+        errors.FrameTooLarge
+            As for `post`.
+        """
+        try:
+            await self.post(message)
+        except errors.ConnectFailed:
+            return
+
     def was_written(self, position: int) -> bool:
         """Tell whether any byte of a posted message may have left."""
         return self._flushed_bytes > position
--- a/cardamomflow/localview.py
+++ b/cardamomflow/localview.py
@@ -168,12 +168,8 @@
         await link.run()
 
     async def _post(self, message: control_pb2.Message) -> None:
-        if self._link is None:
-            return
-        try:
-            await self._link.post(message)
-        except errors.ConnectFailed:
-            return
+        if self._link is not None:
+            await self._link.post_if_open(message)
 
     async def _take_configuration(
         self, document: control_pb2.ConfigurationDocument
--- a/cardamomflow/newslinks.py
+++ b/cardamomflow/newslinks.py
@@ -26,7 +26,7 @@
     def __init__(self, around: context.Context, asker: peering.Asker) -> None:
         """Start by asking the platform."""
         self._archive = newsrelay.Archive()
-        self._listening = newsrelay.Listening(around.settings['host']['id'])
+        self._listening = newsrelay.Listening(asker.owners.own.host_id)
         self._asker = asker
         self._clock = around.clock
         self._journal = around.journal
@@ -87,7 +87,7 @@
             if news is not None:
                 return news
             if self._listening.teller is None:
-                await self._note_teller(None)
+                self._note_teller(None)
                 return None
             async with curio.ignore_after(
                 self._listening.wait_s(self._clock())
@@ -106,11 +106,11 @@
         if before is not None:
             await self._request(before, stop=True)
         self._listening.begin(chosen, self._clock())
-        await self._note_teller(chosen)
+        self._note_teller(chosen)
         if chosen is not None:
             await self._request(chosen, revision=revision)
 
-    async def _note_teller(self, teller: str | None) -> None:
+    def _note_teller(self, teller: str | None) -> None:
         self._journal.info(events.Event.NEWS_SOURCE, peer=teller)
 
     async def _request(
@@ -120,7 +120,7 @@
         if link is None:
             return
         request = wire_pb2.NewsRequest(revision=revision, stop=stop)
-        await peering.post(link, wire_pb2.Envelope(news_request=request))
+        await link.post_if_open(wire_pb2.Envelope(news_request=request))
 
     async def _take(self, host_id: str, told: wire_pb2.News) -> None:
         now = self._clock()
--- a/cardamomflow/newsrelay.py
+++ b/cardamomflow/newsrelay.py
@@ -10,7 +10,7 @@
 from collections.abc import Container, Sequence
 from typing import NamedTuple
 
-from cardamomflow import ownership, routing
+from cardamomflow import avoidance, ownership, routing
 
 # Age of the news after which a host asks the platform itself. The one that
 # passes them on hears at least every 1.1 s in good health, and its silent
@@ -97,7 +97,7 @@
         self._own_id = own_id
         self._told: collections.deque[News] = collections.deque()
         self._fresh_until = float('-inf')
-        self._avoided_until: dict[str, float] = {}
+        self._avoided = avoidance.Avoidance()
 
     def choose(
         self,
@@ -113,8 +113,8 @@
         for host_id in ranked:
             if host_id == self._own_id:
                 return None
-            avoided = self._avoided_until.get(host_id, now) > now
-            if host_id in usable and not avoided:
+            is_avoided = self._avoided.is_avoided(host_id, now)
+            if host_id in usable and not is_avoided:
                 return host_id
         return None
 
@@ -152,7 +152,7 @@
 
     def _avoid(self, now: float) -> None:
         if self.teller is not None:
-            self._avoided_until[self.teller] = now + AVOIDED_S
+            self._avoided.avoid(self.teller, now + AVOIDED_S, now)
         self.begin(None, now)
 
     def wait_s(self, now: float) -> float:
--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -8,7 +8,7 @@
 import collections
 from collections.abc import Container, Iterable, Mapping, Sequence
 
-from cardamomflow import gathering
+from cardamomflow import avoidance, gathering
 
 # Requests of all hosts that a backend server works on or keeps in its queue,
 # for each of its slots. Its queue knows no ranks: with as many requests as it
@@ -38,12 +38,12 @@
     def __init__(self) -> None:
         """Start without attempts and without a known bound."""
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._unreachable_until: dict[str, float] = {}
+        self._avoided = avoidance.Avoidance()
         self._connections_by_service: Mapping[str, int] = {}
         self._handed_over: Container[str] = frozenset()
         self._reports_by_id: dict[str, gathering.Load] = {}
         self._hosts = 1
-        self._owners = 0
+        self._owners = 1
 
     def apply(
         self,
@@ -61,7 +61,7 @@
         self._connections_by_service = connections_by_service
         self._handed_over = handed_over
 
-    def share(self, hosts: int, owners: int = 0) -> None:
+    def share(self, hosts: int, owners: int = 1) -> None:
         """Take the number of hosts, and of the owners of a service."""
         self._hosts = hosts
         self._owners = owners
@@ -72,7 +72,7 @@
         Where only owners ask, one more stands for all hosts whose owner does
         not answer.
         """
-        if self._owners and service in self._handed_over:
+        if service in self._handed_over:
             return min(self._hosts, self._owners + 1)
         return self._hosts
 
@@ -101,19 +101,15 @@
 
     def refused_connection(self, backend_id: str, now: float) -> None:
         """Note that a backend server accepted no connection."""
-        self._leave_alone(backend_id, now + UNREACHABLE_S)
+        self._avoided.avoid(backend_id, now + UNREACHABLE_S, now)
 
     def refused_work(self, backend_id: str, now: float) -> None:
         """Note that a backend server is full."""
-        self._leave_alone(backend_id, now + FULL_S)
-
-    def _leave_alone(self, backend_id: str, until: float) -> None:
-        known = self._unreachable_until.get(backend_id, until)
-        self._unreachable_until[backend_id] = max(known, until)
+        self._avoided.avoid(backend_id, now + FULL_S, now)
 
     def forget(self, backend_id: str) -> None:
         """Drop what is known of a backend server that left."""
-        self._unreachable_until.pop(backend_id, None)
+        self._avoided.forget(backend_id)
         self._reports_by_id.pop(backend_id, None)
 
     def free(
@@ -165,6 +161,6 @@
         accepting = [
             backend_id
             for backend_id in backend_ids
-            if self._unreachable_until.get(backend_id, now) <= now
+            if not self._avoided.is_avoided(backend_id, now)
         ]
         return accepting or backend_ids
--- a/cardamomflow/parts.py
+++ b/cardamomflow/parts.py
@@ -58,10 +58,7 @@
 
     def is_finished(self, now: float) -> bool:
         """Whether every part is settled, or nobody waits any longer."""
-        settled = self.answered + self.failed
-        if self.is_abandoned or self.ended or settled >= len(self.legs):
-            return True
-        return now >= self.deadline
+        return self.is_abandoned or self.is_settled or now >= self.deadline
 
     def has_news(self, now: float) -> bool:
         """Whether the other host should hear something now.
@@ -81,22 +78,24 @@
         """Return the parts that were not told yet, and those without hope."""
         self._has_told = True
         fresh = [leg for leg in self.legs if leg not in self._told]
-        told = [leg for leg in fresh if leg.reply is not None]
+        replies_by_leg = {
+            leg: leg.reply for leg in fresh if leg.reply is not None
+        }
         missing = [
             leg
             for leg in fresh
             if leg.reply is None and (is_last or leg.reason is not None)
         ]
-        self._told.update(told, missing)
-        replies = [leg.reply for leg in told if leg.reply is not None]
+        self._told.update(replies_by_leg, missing)
         return wire_pb2.PartsAnswer(
             attempt_id=attempt_id,
             parts=[
-                wire_pb2.Part(service=leg.service, stamp=leg.reply.stamp)
-                for leg in told
-                if leg.reply is not None
+                wire_pb2.Part(service=leg.service, stamp=reply.stamp)
+                for leg, reply in replies_by_leg.items()
             ],
-            records=gathering.merge(replies, self.route.limit),
+            records=gathering.merge(
+                list(replies_by_leg.values()), self.route.limit
+            ),
             missing=[
                 wire_pb2.MissingPart(
                     service=leg.service,
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -95,13 +95,12 @@
         """Start without other hosts."""
         self.owners = ownership.Ownership(ownership.own_member(around.settings))
         self.links = aggregatorlinks.AggregatorLinks(around, _ignore)
-        self._own_id = around.settings['host']['id']
         self.is_on = 'peers' in around.settings
         self._tier = tier
         self._clock = around.clock
         self._metrics = around.metrics
         self._journal = around.journal
-        self._delegation = delegation.Delegation(self.owners, self._own_id)
+        self._delegation = delegation.Delegation(self.owners)
         # What the owners were chosen from.
         self._view: _View = (set(), frozenset(), frozenset())
         self._listed_until: dict[ownership.Member, float] = {}
@@ -181,7 +180,7 @@
                 work,
                 handover.attempt_id,
                 [leg.service for leg in handover.legs],
-                self._own_id,
+                self.owners.own.host_id,
                 now,
             )
             envelope = wire_pb2.Envelope(parts_request=request)
@@ -261,7 +260,7 @@
         self._forget(handover)
         link = self.links.link_to(handover.host_id)
         if link is not None:
-            await post(link, wire_pb2.Envelope(parts_end=ended))
+            await link.post_if_open(wire_pb2.Envelope(parts_end=ended))
 
     def _forget(self, handover: delegation.Handover) -> None:
         link = self.links.link_to(handover.host_id)
@@ -325,13 +324,13 @@
         if self._closing:
             await link.close()
         elif self.stopping:
-            await post(link, _GOING_AWAY)
+            await link.post_if_open(_GOING_AWAY)
 
     async def announce_stop(self) -> None:
         """Let other hosts ask elsewhere from now on."""
         self.stopping = True
         for link in list(self._tasks_by_link):
-            await post(link, _GOING_AWAY)
+            await link.post_if_open(_GOING_AWAY)
 
     async def wait_idle(self) -> None:
         """Wait until no request of another host is in progress."""
@@ -369,7 +368,7 @@
         """Stop what a host asked for that is gone."""
         self._news.closed(link)
         for serving in self._tasks_by_link.pop(link, {}).values():
-            await serving.stop(cancel=True)
+            serving.work.abandon(cancel=True)
 
     async def _start(
         self, link: hops.WireLink, request: wire_pb2.PartsRequest
@@ -399,7 +398,7 @@
     ) -> None:
         serving = self._tasks_by_link[link].get(ended.attempt_id)
         if serving is not None:
-            await serving.stop(cancel=ended.cancel)
+            serving.work.abandon(cancel=ended.cancel)
             await self._server.wake(serving.work)
 
 
@@ -418,23 +417,11 @@
         if self.work.is_abandoned:
             return
         answer = self.work.take_news(self.attempt_id, is_last=is_last)
-        await post(self._link, wire_pb2.Envelope(parts_answer=answer))
-
-    async def stop(self, *, cancel: bool) -> None:
-        """End the request, since nobody waits for it."""
-        self.work.abandon(cancel=cancel)
+        await self._link.post_if_open(wire_pb2.Envelope(parts_answer=answer))
 
 
 _GOING_AWAY = wire_pb2.Envelope(going_away=wire_pb2.GoingAway())
 
 
-async def post(link: hops.WireLink, envelope: wire_pb2.Envelope) -> None:
-    """Send a message; the end of a link is noticed by its own task."""
-    try:
-        await link.post(envelope)
-    except errors.ConnectFailed:
-        return
-
-
 def _ignore(_: object) -> None:
     """Take holdings, which hosts do not send."""
