Answer every request that a stopping host takes

Cause: a stopping host took requests from kept connections until its drain ended, however little time was left, and closed all connections then.

Change: at SIGTERM the host fixes the time by which it answers. Requests in progress end by then. The two steps that close links share one time limit, so the drain ends 0.4 s later.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -80,6 +80,13 @@
                 await self._cancel(work)
         return ending
 
+    async def limit_deadlines(self, latest: float) -> None:
+        """End all requests in progress by a time, in monotonic seconds."""
+        for work, changed in list(self._changed_by_work.items()):
+            work.deadline = min(work.deadline, latest)
+            # Their tasks wait until the former deadline otherwise.
+            await changed.set()
+
     async def take_back(
         self, handover: delegation.Handover, *, was_sent: bool
     ) -> None:
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -41,6 +41,8 @@
 STOP_MARGIN_S = 0.5
 # For the last frames to other hosts, which close their end of a link at once.
 LINK_CLOSE_TIMEOUT_S = 0.4
+# Time to send the answers of requests that end when the grace period does.
+LAST_ANSWER_TIMEOUT_S = 0.2
 _ACCEPT_RETRY_S = 0.05
 _MS = 1000
 
@@ -259,43 +261,48 @@
         readiness_port=components.readiness_server.port,
     )
     healthy = await supervisor.wait()
+    clean = await _stop_host(process_context, components)
+    return _log_stop(process_context, clean=clean and healthy)
+
+
+async def _stop_host(
+    process_context: context.Context, components: HostComponents
+) -> bool:
+    """Stop a host process; return whether all requests were finished."""
     process_context.journal.info(events.Event.STOPPING)
-    components.host.stopping = True
+    drained_by = (
+        process_context.clock()
+        + components.host.settings.get('stop_within_s', DEFAULT_STOP_WITHIN_S)
+        - STOP_MARGIN_S
+        - LINK_CLOSE_TIMEOUT_S
+    )
     components.caller_server.announce_stop()
+    await components.host.stop_by(drained_by - LAST_ANSWER_TIMEOUT_S)
     await components.peer_server.announce_stop()
     await components.follower.leave()
     # The platform removes a host from its rotation after two failed readiness
     # checks, a second apart.
     await curio.sleep(HOST_DRAIN_DELAY_S)
-    stop_within_s = components.host.settings.get(
-        'stop_within_s', DEFAULT_STOP_WITHIN_S
-    )
-    clean = await _finish_requests(
-        process_context,
-        components,
-        stop_within_s - HOST_DRAIN_DELAY_S - STOP_MARGIN_S,
-    )
+    clean = await _finish_requests(process_context, components, drained_by)
     await components.host.transport.close()
-    return _log_stop(process_context, clean=clean and healthy)
+    return clean
 
 
 async def _finish_requests(
     process_context: context.Context,
     components: HostComponents,
-    remaining_s: float,
+    drained_by: float,
 ) -> bool:
     """Finish all requests; return whether none was left at the end."""
-    finish_timeout_s = max(0, remaining_s - 2 * LINK_CLOSE_TIMEOUT_S)
-    ends_at = process_context.clock() + finish_timeout_s
-    clean = await components.caller_server.drain(finish_timeout_s)
-    async with curio.ignore_after(max(0, ends_at - process_context.clock())):
+    clock = process_context.clock
+    clean = await components.caller_server.drain(max(0, drained_by - clock()))
+    async with curio.ignore_after(max(0, drained_by - clock())):
         await components.peer_server.wait_idle()
     async with curio.ignore_after(LINK_CLOSE_TIMEOUT_S):
         await components.host.peer_client.links.stop()
-    if components.peer_listener is not None:
-        # Other hosts dial again as soon as their link is closed.
-        components.peer_listener.stopping = True
-    async with curio.ignore_after(LINK_CLOSE_TIMEOUT_S):
+        if components.peer_listener is not None:
+            # Other hosts dial again as soon as their link is closed.
+            components.peer_listener.stopping = True
         await components.peer_server.stop()
     return clean and components.peer_server.is_idle
 
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -20,6 +20,7 @@
     errors,
     events,
     extraload,
+    graceperiod,
     ownership,
     peering,
     reloading,
@@ -64,6 +65,7 @@
 
     def __init__(self, process_context: context.Context) -> None:
         self.stopping = False
+        self.grace_period = graceperiod.GracePeriod()
         self.settings = process_context.settings
         self.on_bounds_changed: Callable[[serverconnection.Bounds], None] = (
             _ignore_bounds
@@ -98,6 +100,7 @@
         """Apply the routes of a newer revision."""
         self._table = table
         self._answer_time.clear()
+        self.grace_period.retain(table.names)
         self._dispatcher.apply(table)
         self.zones.apply(table)
         self.on_bounds_changed(
@@ -211,19 +214,25 @@
         time_budget: requeststate.TimeBudget,
     ) -> requeststate.Work:
         """Run a request and return it with its answer."""
+        now = self._clock()
+        try:
+            time_budget = self.grace_period.limit(route, time_budget, now)
+        except errors.Stopping as error:
+            self.record_refusal(message.request_id.decode('latin-1'), error)
+            raise
         work = requeststate.Work(
             route,
             route.services(self._context.random),
             message,
-            self._clock(),
+            now,
             time_budget._replace(sending_s=self._sending_s(route)),
         )
         ending = await self.active_requests.run(work)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
-        self._metrics.observe(
-            'host.latency', route.rank.label, self._clock() - work.started_at
-        )
+        duration_s = self._clock() - work.started_at
+        self._metrics.observe('host.latency', route.rank.label, duration_s)
         if ending is requeststate.Ending.ANSWERED:
+            self.grace_period.record_answer(route.name, duration_s)
             await curio.spawn(
                 self._record_answer, work, self._clock(), daemon=True
             )
@@ -232,6 +241,18 @@
         _raise_failure(work, ending, self._retry_after_s())
         return work
 
+    async def stop_by(self, answer_by: float) -> None:
+        """Answer all requests in progress, and all further ones, in time.
+
+        Parameters
+        ----------
+        answer_by : float
+            Monotonic time in seconds.
+        """
+        self.stopping = True
+        self.grace_period.start(answer_by)
+        await self.active_requests.limit_deadlines(answer_by)
+
     async def wake(self, work: requeststate.Work) -> None:
         """Process a request whose requester no longer waits for it."""
         await self.active_requests.wake(work)
@@ -243,6 +264,7 @@
         asked_by: str,
     ) -> None:
         """Fetch parts on behalf of another host."""
+        work.deadline = min(work.deadline, self.grace_period.answer_by)
         ending = await self.active_requests.run_parts(work, report)
         self._log_request(work, ending, asked_by=asked_by)
 
--- a/cardamomflow/routes.py
+++ b/cardamomflow/routes.py
@@ -144,6 +144,11 @@
         """Return the number of routes."""
         return len(self._routes)
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of the routes."""
+        return frozenset(route.name for route in self._routes)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path."""
         for route in self._routes_by_host.get(host, ()):
--- a/tests/test_host_process.py
+++ b/tests/test_host_process.py
@@ -22,6 +22,25 @@
 PROGRAM = (sys.executable, '-m', 'cardamomflow', 'host')
 STOP_WITHIN_S = 4
 START_LIMIT_S = 15
+# Payments that are sent on kept connections after the signal to stop, and the
+# time that each takes. The host waits 2.5 s for its removal from the rotation.
+LATE_PAYMENT_DELAYS_S = (0, 0.8, 1.6, 2, 2.4)
+LATE_PAYMENT_S = 1.2
+SERVED = b'HTTP/1.1 200'
+REFUSED = b'HTTP/1.1 503'
+COMPLETE_ANSWERS = (SERVED, REFUSED, b'HTTP/1.1 504')
+STAMP = b'x-response-seal'
+
+
+def payment(request_id):
+    """Return the bytes of a payment."""
+    return (
+        b'POST /payment/x HTTP/1.1\r\n'
+        b'host: shop.example\r\n'
+        b'x-request-id: %s\r\n'
+        b'x-request-deadline: 6000\r\n'
+        b'content-length: 3\r\n\r\npay' % request_id.encode()
+    )
 
 
 class HostProcess(hostworld.HostWorld):
@@ -125,6 +144,53 @@
         self.assertEqual(connection, 'close')
         self.assertEqual(exit_status, 0)
 
+    def test_request_late_in_the_stop_is_answered_or_not_run(self):
+        """Guards against a payment that a stop cuts off without an answer."""
+
+        async def pay(world, stop_at, number, delay_s):
+            """Return the answer to a payment on a connection kept since."""
+            async with loops.Caller(world.callers_port) as caller:
+                await caller.send(payment(f'kept-{number}'))
+                await caller.read_until(STAMP)
+                await stop_at.wait()
+                await curio.sleep(delay_s)
+                await caller.send(payment(f'late-{number}'))
+                return await caller.read_all()
+
+        async def scenario(world):
+            backend = world.backends_by_id['a0']
+            stop_at = curio.Event()
+            tasks = [
+                await curio.spawn(pay, world, stop_at, number, delay_s)
+                for number, delay_s in enumerate(LATE_PAYMENT_DELAYS_S)
+            ]
+            await loops.until(
+                lambda: len(backend.ran) == len(LATE_PAYMENT_DELAYS_S)
+            )
+            backend.pause_s = LATE_PAYMENT_S
+            world.process.send_signal(signal.SIGTERM)
+            await loops.until(lambda: world.lines('stopping'))
+            await stop_at.set()
+            answers = [await task.join() for task in tasks]
+            ran_ids = {
+                request.headers['x-request-id'] for request in backend.ran
+            }
+            return answers, ran_ids, await world.wait_stopped()
+
+        answers, ran_ids, exit_status = hostworld.run_scenario(
+            scenario, HostProcess
+        )
+        for number, answer in enumerate(answers):
+            with self.subTest(delay_s=LATE_PAYMENT_DELAYS_S[number]):
+                self.assertIn(answer[:12], COMPLETE_ANSWERS)
+                has_run = f'late-{number}' in ran_ids
+                self.assertEqual(has_run, not answer.startswith(REFUSED))
+                self.assertIn(b'connection: close', answer)
+        self.assertTrue(answers[0].startswith(SERVED))
+        self.assertTrue(answers[-1].startswith(REFUSED))
+        self.assertIn(b'retry-after: ', answers[-1])
+        self.assertEqual(exit_status, 0)
+
     def test_cause_of_a_failed_request_is_in_the_log(self):
         """Guards against a failed payment that the log does not explain."""
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1,5 +1,6 @@
 """The host program against the users' platform, over real sockets."""
 
+import time
 import unittest
 from unittest import mock
 
@@ -141,6 +142,25 @@
             self.assertEqual(answer.status, 200)
             self.assertTrue(answer.headers['x-response-seal'].startswith('a1'))
 
+    def test_request_in_progress_is_answered_before_the_stop(self):
+        """Guards against a stop that cuts off a request with a long time."""
+
+        async def scenario(world):
+            world.backends_by_id['a0'].pause_s = 5
+            world.backends_by_id['a1'].pause_s = 5
+            payment_task = await curio.spawn(
+                world.send_request, '/payment/x', 'POST', b'pay'
+            )
+            await loops.until(lambda: world.host.active_requests.count)
+            await world.host.stop_by(time.monotonic() + 0.2)
+            payment = await payment_task.join()
+            return payment, await world.send_request('/statement/x')
+
+        payment, late = hostworld.run_scenario(scenario)
+        self.assertEqual(payment.status, 504)
+        self.assertEqual(late.status, 503)
+        self.assertEqual(hostworld.error_code(late), 'stopping')
+
     def test_unknown_path_and_missing_id_are_refused(self):
         """Guards against requests that are routed to the wrong service."""
 
