Follow the notices of leaving and busy backend servers

Cause: nothing read Server-Leaving or Retry-After in the answers of backend servers, so a host sent work to one that stops until its entry had changed, and to one that had asked for a pause.

Change: the adapter decodes both headers once. A notice to stop holds for the incarnation (born) that sent it, whatever the store, a relay or a full read says later, and an owner passes it on with its parts. A pause is kept by one check for first attempts, hedges and repeats; work returns one request at a time. Malformed values are ignored and reported once.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -4,20 +4,32 @@
 and `delegation` decide what is sent.
 """
 
+from collections.abc import Iterable
+
 import curio
 
 from cardamomflow import (
+    backendnotices,
     context,
     delegatedparts,
     delegation,
     directory,
     dispatching,
+    events,
     limits,
     peering,
     requeststate,
 )
 from cardamomflow.platform import backendlink
 
+_MS = 1000
+_EVENTS_BY_KIND = {
+    backendnotices.NoticeKind.LEAVING: events.Event.BACKEND_LEAVING,
+    backendnotices.NoticeKind.PAUSED: events.Event.BACKEND_PAUSED,
+    backendnotices.NoticeKind.RESUMED: events.Event.BACKEND_RESUMED,
+    backendnotices.NoticeKind.INVALID: events.Event.HEADER_IGNORED,
+}
+
 
 class ActiveRequests(backendlink.AttemptListener, peering.HandoverListener):
     """Requests of callers, and requests for parts of other hosts."""
@@ -38,6 +50,7 @@
         self.peer_client = peering.PeerClient(process_context, self)
         self._clock = process_context.clock
         self._metrics = process_context.metrics
+        self._journal = process_context.journal
         self._changed_by_work: dict[requeststate.Work, curio.Event] = {}
 
     @property
@@ -101,6 +114,7 @@
     ) -> None:
         """Handle a complete answer."""
         self.dispatcher.on_reply(attempt, reply, self._clock())
+        await self._report_notices()
         await self.wake(attempt.subrequest.work)
 
     async def on_attempt_failed(
@@ -114,6 +128,14 @@
         self._metrics.increment(f'host.attempts.{outcome.name.lower()}')
         await self.wake(attempt.subrequest.work)
 
+    async def on_leaving_backends(
+        self, notices: Iterable[directory.LeavingNotice], reported_by: str
+    ) -> None:
+        """Handle backend servers that announced their stop to another host."""
+        for notice in notices:
+            self.dispatcher.notices.record_leaving(notice)
+        await self._report_notices(reported_by=reported_by)
+
     async def wake(self, work: requeststate.Work) -> None:
         """Send the decided attempts and wake the task of a changed request."""
         await self.send()
@@ -129,6 +151,20 @@
             self._metrics.increment(f'host.sent.{kind}')
             await self.transport.send(attempt)
 
+    async def _report_notices(self, **fields: str) -> None:
+        """Log the notices of backend servers, and close unused connections."""
+        for event in self.dispatcher.notices.pop_events():
+            self._metrics.increment(f'host.notices.{event.kind.name.lower()}')
+            self._journal.info(
+                _EVENTS_BY_KIND[event.kind],
+                backend_id=event.backend_id,
+                pause_ms=round(event.pause_s * _MS),
+                headers=event.headers,
+                **fields,
+            )
+            if event.kind is backendnotices.NoticeKind.LEAVING:
+                await self.transport.close_idle(event.backend_id)
+
     async def _run_until_finished(
         self, work: requeststate.Work, changed: curio.Event
     ) -> None:
--- a/cardamomflow/delegatedparts.py
+++ b/cardamomflow/delegatedparts.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from cardamomflow import errors, requeststate, routes, rules, scatter
+from cardamomflow import directory, errors, requeststate, routes, rules, scatter
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import backendlink
 
@@ -126,6 +126,14 @@
                 for subrequest in missing
             ],
             is_last=is_last,
+            leaving=[
+                wire_pb2.LeavingBackend(
+                    backend_id=reply.leaving.backend_id,
+                    incarnation=reply.leaving.incarnation,
+                )
+                for reply in replies_by_subrequest.values()
+                if reply.leaving is not None
+            ],
         )
 
 
@@ -207,6 +215,16 @@
     )
 
 
+def leaving_notices(
+    answer: wire_pb2.PartsAnswer,
+) -> list[directory.LeavingNotice]:
+    """Return the backend servers that announced their stop in some parts."""
+    return [
+        directory.LeavingNotice(leaving.backend_id, leaving.incarnation)
+        for leaving in answer.leaving
+    ]
+
+
 def apply_answer(
     subrequests: Iterable[requeststate.Subrequest], answer: wire_pb2.PartsAnswer
 ) -> bool:
--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -5,6 +5,7 @@
 time, within which the platform lists its backend server again if it is alive.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -12,6 +13,8 @@
 
 # Entries that expired in an outage are listed again about 2 s after its end.
 OUTAGE_GRACE_S = 2.2
+# Notices beyond this number replace the oldest ones.
+MAX_LEAVING_NOTICES = 10_000
 
 
 class Change(NamedTuple):
@@ -23,11 +26,21 @@
     service : str
     usable : bool
         Whether the backend server may get new work now.
+    restarted : bool
+        Whether the backend server has started again under its id.
     """
 
     backend_id: str
     service: str
     usable: bool
+    restarted: bool = False
+
+
+class LeavingNotice(NamedTuple):
+    """Notice of a backend server, in an answer, that it is about to stop."""
+
+    backend_id: str
+    incarnation: int
 
 
 class Directory:
@@ -39,6 +52,11 @@
         self._ids_by_service: dict[str, tuple[str, ...]] = {}
         self._held_until_by_id: dict[str, float] = {}
         self._outage_until = float('-inf')
+        self._listed_count_by_service: collections.Counter[str] = (
+            collections.Counter()
+        )
+        # Newest incarnation of each backend server that said it was leaving.
+        self._left_incarnations_by_id: dict[str, int] = {}
 
     def usable(self, service: str) -> tuple[str, ...]:
         """Return the ids of a service's backend servers that take new work."""
@@ -86,10 +104,42 @@
         if before == backend:
             return None
         self.backends_by_id[backend_id] = backend
-        if before is not None and before.service != backend.service:
-            self._set_usable(before, usable=False)
-        self._set_usable(backend, usable=not backend.leaving)
-        return Change(backend_id, backend.service, not backend.leaving)
+        self._listed_count_by_service[backend.service] += 1
+        if before is not None:
+            self._listed_count_by_service[before.service] -= 1
+            if before.service != backend.service:
+                self._set_usable(before, usable=False)
+        usable = not self._is_leaving(backend)
+        self._set_usable(backend, usable=usable)
+        restarted = (
+            before is not None and before.incarnation != backend.incarnation
+        )
+        return Change(backend_id, backend.service, usable, restarted)
+
+    def record_leaving(self, notice: LeavingNotice) -> Change | None:
+        """Record that a backend server said in an answer that it is leaving.
+
+        The notice holds for this incarnation, whatever its entry says. Returns
+        None when nothing changed.
+        """
+        backend_id, incarnation = notice
+        left_incarnations_by_id = self._left_incarnations_by_id
+        if incarnation <= left_incarnations_by_id.get(backend_id, -1):
+            return None
+        left_incarnations_by_id[backend_id] = incarnation
+        if len(left_incarnations_by_id) > MAX_LEAVING_NOTICES:
+            left_incarnations_by_id.pop(next(iter(left_incarnations_by_id)))
+        backend = self.backends_by_id.get(backend_id)
+        if backend is None or backend_id not in self.usable(backend.service):
+            return None
+        if not self._is_leaving(backend):
+            return None
+        self._set_usable(backend, usable=False)
+        return Change(backend_id, backend.service, usable=False)
+
+    def has_listed(self, service: str) -> bool:
+        """Return whether any backend server of a service is listed."""
+        return self._listed_count_by_service[service] > 0
 
     def remove_entry(self, backend_id: str, now: float) -> Change | None:
         """Remove an entry; during an outage it is held for some time."""
@@ -123,9 +173,19 @@
             return None
         return self._drop(backend_id)
 
+    def _is_leaving(self, backend: register.Backend) -> bool:
+        left_incarnation = self._left_incarnations_by_id.get(
+            backend.backend_id, -1
+        )
+        return backend.leaving or backend.incarnation <= left_incarnation
+
     def _drop(self, backend_id: str) -> Change:
         self._held_until_by_id.pop(backend_id, None)
         backend = self.backends_by_id.pop(backend_id)
+        self._listed_count_by_service[backend.service] -= 1
+        if not backend.incarnation:
+            # Another backend server under this id could not be told apart.
+            self._left_incarnations_by_id.pop(backend_id, None)
         self._set_usable(backend, usable=False)
         return Change(backend_id, backend.service, usable=False)
 
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -8,11 +8,13 @@
 
 import heapq
 import itertools
+import math
 import random as random_module
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from cardamomflow import (
+    backendnotices,
     delegation,
     directory,
     extraload,
@@ -63,6 +65,7 @@
         self._directory = backends
         self._zone = availability_zone
         self._chooser = replicas.ReplicaChooser(random)
+        self.notices = backendnotices.BackendNotices(backends, random)
         # Used only for hedge delays: budgets limit extra load by service.
         self._hedges = hedging.HedgePolicy(
             rules.Hedging(
@@ -102,10 +105,18 @@
             )
         self._budgets.update(sharing, self.handed_over_services)
 
-    def can_serve(self, services: Sequence[str], needed: int) -> bool:
-        """Return whether enough services have servers in reachable zones."""
+    def can_serve(
+        self, services: Sequence[str], needed: int, now: float = math.inf
+    ) -> bool:
+        """Return whether enough services have servers that may get work.
+
+        Pauses that end before `now` are ignored, by default all.
+        """
         served = sum(
-            any(map(self._is_reachable, self._directory.usable(service)))
+            any(
+                self._may_get_work(backend_id, now)
+                for backend_id in self._directory.usable(service)
+            )
             for service in services
         )
         return served >= needed
@@ -124,9 +135,9 @@
         handed over are left to the other hosts.
         """
         services = [subrequest.service for subrequest in work.subrequests]
-        if not self.can_serve(services, work.needed):
+        if not self.can_serve(services, work.needed, now):
             for unserved in work.subrequests:
-                work.mark_failed(unserved, 'no_backend_server')
+                self.notices.mark_unserved(unserved, now)
             return
         for subrequest in work.subrequests:
             if subrequest.handover is None:
@@ -191,12 +202,11 @@
         """Process a complete answer."""
         subrequest = attempt.subrequest
         self.reachability.record_answer(attempt.availability_zone)
+        self.notices.apply(attempt.backend_id, reply, now)
         self._end_attempt(attempt, reply.outcome, now)
         if reply.load is not None:
             self._chooser.record_report(attempt.backend_id, *reply.load, 0, now)
             self.occupancy.record_load(attempt.backend_id, reply.load)
-        if reply.misdirected:
-            self._directory.remove_misdirected(attempt.backend_id)
         if reply.not_run:
             self.occupancy.record_refused_work(attempt.backend_id, now)
         else:
@@ -238,6 +248,7 @@
     ) -> None:
         """Process changes to the list of backend servers."""
         for change in changes:
+            self.notices.on_directory_change(change)
             if not change.usable and self.occupancy.is_idle(change.backend_id):
                 self._chooser.remove(change.backend_id)
                 self.occupancy.forget(change.backend_id)
@@ -282,7 +293,7 @@
         candidates = self._candidates(subrequest, now)
         if not candidates:
             if not subrequest.open_attempts:
-                subrequest.work.mark_failed(subrequest, 'no_backend_server')
+                self.notices.mark_unserved(subrequest, now)
             return
         if not self._send(subrequest, candidates, now):
             self._enqueue(subrequest)
@@ -306,8 +317,10 @@
 
     def _hedge(self, subrequest: requeststate.Subrequest, now: float) -> None:
         candidates = self._candidates(subrequest, now)
-        available = self.occupancy.available_for_hedge(
-            subrequest.service, candidates
+        available = self.notices.accepting_more(
+            self.occupancy.available_for_hedge(subrequest.service, candidates),
+            now,
+            self.occupancy.is_idle,
         )
         if (
             available
@@ -327,6 +340,9 @@
         available = self.occupancy.available(
             subrequest.service, candidates, extra_attempts
         )
+        available = self.notices.accepting_more(
+            available, now, self.occupancy.is_idle
+        )
         return self._send_to_one(subrequest, available, now)
 
     def _send_to_one(
@@ -346,9 +362,14 @@
         self._new_attempts.append(subrequest.add_attempt(backend_id, zone, now))
         return True
 
-    def _is_reachable(self, backend_id: str) -> bool:
+    def _may_get_work(self, backend_id: str, now: float) -> bool:
+        """Return whether a backend server may get work from this host.
+
+        Leaving backend servers are not usable in the directory.
+        """
         backend = self._directory.backends_by_id[backend_id]
-        return not self.reachability.is_silent(backend.availability_zone)
+        is_silent = self.reachability.is_silent(backend.availability_zone)
+        return not is_silent and not self.notices.is_paused(backend_id, now)
 
     def _candidates(
         self, subrequest: requeststate.Subrequest, now: float
@@ -365,7 +386,7 @@
             for backend_id in self._directory.usable(subrequest.service)
             if backend_id not in attempted_ids
             and backend_id not in subrequest.unreachable_ids
-            and self._is_reachable(backend_id)
+            and self._may_get_work(backend_id, now)
         ]
         return self.occupancy.prefer_accepting(backends, now)
 
@@ -394,7 +415,7 @@
                 if candidates and not self._send(subrequest, candidates, now):
                     return
                 if not subrequest.open_attempts:
-                    subrequest.work.mark_failed(subrequest, 'no_backend_server')
+                    self.notices.mark_unserved(subrequest, now)
             heapq.heappop(queue)
             subrequest.is_queued = False
 
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -238,7 +238,7 @@
             )
         else:
             self._log_request(work, ending)
-        _raise_failure(work, ending, self._retry_after_s())
+        _raise_failure(work, ending, self._retry_after_s(work))
         return work
 
     async def stop_by(self, answer_by: float) -> None:
@@ -306,17 +306,26 @@
             'silent_zones': sorted(self._dispatcher.reachability.silent_zones),
         }
 
-    def _retry_after_s(self) -> float:
+    def _retry_after_s(self, work: requeststate.Work) -> float:
         """Return after how many seconds a caller should retry.
 
-        By then, the platform has removed a host that is cut off from its
-        rotation, so the caller reaches another zone.
+        By then, a backend server of each missing part takes requests again,
+        and the platform has removed a host that is cut off from its rotation,
+        so the caller reaches another zone.
         """
+        pause_s = self._dispatcher.notices.remaining_s(
+            (
+                subrequest.service
+                for subrequest in work.subrequests
+                if subrequest.failure_reason is not None
+            ),
+            self._clock(),
+        )
         silent_since = self._dispatcher.reachability.silent_since()
         if not self.zones.is_cut_off or silent_since is None:
-            return RETRY_AFTER_S
+            return max(RETRY_AFTER_S, pause_s)
         remaining_s = silent_since + ROTATION_REMOVAL_S - self._clock()
-        return max(RETRY_AFTER_S, remaining_s)
+        return max(RETRY_AFTER_S, pause_s, remaining_s)
 
     def _register_gauges(self) -> None:
         """Register the gauges that the metrics read from this host."""
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -53,6 +53,12 @@
         'kind',
         'Attempts at backend servers; a further one is a hedge or a repeat.',
     ),
+    MetricDefinition(
+        'host.notices',
+        'host_backend_notices',
+        'kind',
+        'Backend servers that announced a stop or a pause, or resumed work.',
+    ),
     MetricDefinition(
         'host.handed_over',
         'host_handed_over',
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -16,6 +16,7 @@
     context,
     delegatedparts,
     delegation,
+    directory,
     errors,
     events,
     linkkeepalive,
@@ -44,6 +45,12 @@
     ) -> None:
         """Request the open parts of a handover without the other host."""
 
+    @abc.abstractmethod
+    async def on_leaving_backends(
+        self, notices: Iterable[directory.LeavingNotice], reported_by: str
+    ) -> None:
+        """Handle backend servers that announced their stop to another host."""
+
     @abc.abstractmethod
     async def wake(self, work: requeststate.Work) -> None:
         """Continue a request after parts have arrived."""
@@ -236,6 +243,10 @@
     ) -> None:
         """Handle parts from another host."""
         self._delegation.record_answer(handover)
+        if answer.leaving:
+            await self._listener.on_leaving_backends(
+                delegatedparts.leaving_notices(answer), handover.host_id
+            )
         if not delegatedparts.apply_answer(
             handover.unsettled_subrequests(), answer
         ):
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -16,6 +16,7 @@
 from curio import io as curio_io
 
 from cardamomflow import (
+    directory,
     errors,
     limits,
     links,
@@ -23,7 +24,7 @@
     requeststate,
     webclient,
 )
-from cardamomflow.platform import wire
+from cardamomflow.platform import replyheaders, wire
 
 # A connection that was idle for longer may have become unresponsive without an
 # error.
@@ -41,10 +42,6 @@
 MAX_BUFFERED_BYTES = 33_554_432
 _RECEIVE_BYTES = 65_536
 _MS = 1000
-_LOAD_FIELD_COUNT = 3
-# A number with more digits is not a plausible time or load, and `int` raises an
-# error for more than 4,300 digits.
-_MAX_DIGITS = 9
 
 
 class Message(NamedTuple):
@@ -236,6 +233,9 @@
         clock: Callable[[], float],
     ) -> None:
         self.backend_id = backend.backend_id
+        self._leaving_notice = directory.LeavingNotice(
+            backend.backend_id, backend.incarnation
+        )
         self.attempt: requeststate.Attempt | None = None
         self.usable_until = clock() + IDLE_LIMIT_S
         self.overdue_at = float('inf')
@@ -354,7 +354,7 @@
         echoed_id = self._headers_by_name.get(wire.REQUEST_ID)
         if echoed_id not in {None, self._request_id}:
             return False
-        return not _is_success(self._status) or _is_signature(
+        return not _is_success(self._status) or replyheaders.is_signature(
             self._headers_by_name.get(wire.STAMP, b'')
         )
 
@@ -376,8 +376,11 @@
         body = self._pop_body()
         is_reusable = webclient.prepare_for_reuse(self._protocol)
         now = self._clock()
-        idle_s = _keep_alive_s(self._headers_by_name) if is_reusable else 0
-        self.usable_until = now + idle_s
+        idle_s = replyheaders.keep_alive_s(self._headers_by_name)
+        if is_reusable:
+            self.usable_until = now + min(IDLE_LIMIT_S, idle_s - IDLE_MARGIN_S)
+        else:
+            self.usable_until = now
         self.overdue_at = float('inf')
         await self._transport.finish_attempt(self, self._build_reply(body))
         return is_reusable
@@ -386,6 +389,8 @@
         headers_by_name = self._headers_by_name
         stamp = headers_by_name.get(wire.STAMP)
         misdirected = self._status == http.HTTPStatus.MISDIRECTED_REQUEST
+        notices = replyheaders.parse_notices(self._headers, headers_by_name)
+        is_busy = self._status == http.HTTPStatus.SERVICE_UNAVAILABLE
         return requeststate.Reply(
             status=self._status,
             headers=[
@@ -397,7 +402,10 @@
             stamp=None if stamp is None else stamp.decode('latin-1'),
             not_run=misdirected or wire.NOT_RUN in headers_by_name,
             misdirected=misdirected,
-            load=_parse_load(headers_by_name.get(wire.LOAD, b'')),
+            load=replyheaders.parse_load(headers_by_name),
+            leaving=self._leaving_notice if notices.is_leaving else None,
+            pause_s=notices.pause_s if is_busy else 0,
+            invalid_headers=notices.invalid,
         )
 
     async def _clean_up(self) -> None:
@@ -409,31 +417,5 @@
         await self._sock.close()
 
 
-def _keep_alive_s(headers_by_name: Mapping[bytes, bytes]) -> float:
-    """Return for how many seconds an idle connection may be reused."""
-    for option in headers_by_name.get(b'keep-alive', b'').split(b','):
-        name, _, limit = option.strip().partition(b'=')
-        if name == b'timeout' and _is_number(limit):
-            return min(IDLE_LIMIT_S, int(limit) - IDLE_MARGIN_S)
-    return IDLE_LIMIT_S
-
-
-def _parse_load(report: bytes) -> requeststate.Load | None:
-    numbers = report.split(b',')
-    if len(numbers) != _LOAD_FIELD_COUNT:
-        return None
-    if not all(_is_number(number.strip()) for number in numbers):
-        return None
-    return requeststate.Load(*map(int, numbers))
-
-
-def _is_number(text: bytes) -> bool:
-    return text.isdigit() and len(text) <= _MAX_DIGITS
-
-
 def _is_success(status: int) -> bool:
     return http.HTTPStatus.OK <= status < http.HTTPStatus.MULTIPLE_CHOICES
-
-
-def _is_signature(text: bytes) -> bool:
-    return text.isascii() and text.split() == [text] and b',' not in text
--- a/cardamomflow/platform/documents.py
+++ b/cardamomflow/platform/documents.py
@@ -151,7 +151,8 @@
     backend_id: str, document: dict[str, Any]
 ) -> register.Backend | None:
     address, port = _parse_address(document['address'])
-    counts = (document['slots'], document['sequence'])
+    incarnation = document.get('born', 0)
+    counts = (document['slots'], document['sequence'], incarnation)
     is_valid = document['state'] in _BACKEND_STATES and all(
         map(_is_count, counts)
     )
@@ -165,6 +166,7 @@
         port=port,
         host_id='',
         leaving=document['state'] == 'draining',
+        incarnation=incarnation,
     )
 
 
--- a/cardamomflow/register.py
+++ b/cardamomflow/register.py
@@ -36,7 +36,18 @@
 
 
 class Backend(NamedTuple):
-    """A backend server."""
+    """A backend server.
+
+    Attributes
+    ----------
+    backend_id, service, availability_zone, address : str
+    port : int
+    host_id : str
+    leaving : bool
+    incarnation : int
+        Increases when a backend server starts again under its id; 0 if
+        unknown.
+    """
 
     backend_id: str
     service: str
@@ -45,6 +56,7 @@
     port: int
     host_id: str
     leaving: bool
+    incarnation: int = 0
 
 
 class Index(NamedTuple):
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from cardamomflow import limits, routes
+from cardamomflow import directory, limits, routes
 
 # Size of the records that the answer to a query consists of.
 RECORD_BYTES = 16
@@ -47,6 +47,13 @@
     misdirected : bool
         Whether the address now belongs to another backend server.
     load : Load or None
+    leaving : directory.LeavingNotice or None
+        Set if the backend server reports that it is about to stop.
+    pause_s : float
+        Time in seconds for which a backend server that refused the request
+        wants no further ones.
+    invalid_headers : tuple of str
+        Names of the headers that were ignored since their values are invalid.
     """
 
     status: int
@@ -56,6 +63,9 @@
     not_run: bool
     misdirected: bool
     load: Load | None
+    leaving: directory.LeavingNotice | None = None
+    pause_s: float = 0
+    invalid_headers: tuple[str, ...] = ()
 
     @property
     def succeeded(self) -> bool:
