List a host again that vanished while it listed itself

Cause: the answer to the write of a host's entry recorded its lease even when the watch had already shown the entry as removed, or the write had failed. The host then renewed a lease without an entry for good.

Change: the lease is recorded only if the write succeeded and the entry has not vanished since the call began.

--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -33,6 +33,8 @@
         self._channel = channel.Channel(address, port, timeout_s)
         self._lease_id = _NO_LEASE
         self._own_key = ''
+        # Whether the entry of this host vanished since its last announcement.
+        self._has_vanished = False
 
     async def read(self) -> platformsource.Changes:
         """Return the current routes and all entries."""
@@ -42,7 +44,7 @@
         items, revision = await self._list(wire.BACKENDS_PREFIX)
         host_items, _ = await self._list(wire.HOSTS_PREFIX)
         if all(item.get('key') != self._own_key for item in host_items):
-            self._lease_id = _NO_LEASE
+            self._record_vanished()
         return platformsource.Changes(
             await self._read_routes(),
             _parse_backends(items),
@@ -79,8 +81,7 @@
             and not host.present
             for host in hosts
         ):
-            # The platform may remove an entry before its lease expires.
-            self._lease_id = _NO_LEASE
+            self._record_vanished()
         return platformsource.Changes(
             _newest_routes(events),
             _parse_backends(events),
@@ -96,11 +97,12 @@
         self._own_key = f'{wire.HOSTS_PREFIX}{member.host_id}'
         if self._lease_id != _NO_LEASE and await self._renew_lease():
             return
+        self._has_vanished = False
         reply = await self._channel.change(
             'POST', '/api/kv-lease', {'ttl_ms': int(ttl_s * _MS)}
         )
         lease_id = self._channel.parse_change_field(reply, 'lease', int)
-        await self._channel.change(
+        reply = await self._channel.change(
             'POST',
             '/api/kv-txn',
             {
@@ -117,7 +119,10 @@
                 'delete_keys': [],
             },
         )
-        self._lease_id = lease_id
+        # The entry may vanish before the answer that it was written.
+        is_listed = reply.status == http.HTTPStatus.OK
+        if is_listed and not self._has_vanished:
+            self._lease_id = lease_id
 
     async def withdraw_host(self) -> None:
         """End the lease of this host, which removes its entry."""
@@ -131,6 +136,14 @@
         """Close all idle connections."""
         await self._channel.close()
 
+    def _record_vanished(self) -> None:
+        """Record that the entry of this host is missing.
+
+        The platform may remove an entry before its lease expires.
+        """
+        self._has_vanished = True
+        self._lease_id = _NO_LEASE
+
     async def _renew_lease(self) -> bool:
         reply = await self._channel.change(
             'POST', f'/api/kv-keep/{self._lease_id}'
--- a/standins/users.py
+++ b/standins/users.py
@@ -43,6 +43,8 @@
         self.is_over_rate = False
         self.delay_s: float = 0
         self.page_items = PAGE_ITEMS
+        # Time between the effect of a change and its answer, in seconds.
+        self.answer_delay_s: float = 0
         # Whether an answer is lost, by the kind of call.
         self.loses_answers_of: set[str] = set()
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
@@ -103,6 +105,7 @@
         if request.method == 'GET':
             return self._read(kind, query)
         response = self._write(kind, argument, request)
+        await curio.sleep(self.answer_delay_s)
         if kind in self.loses_answers_of:
             await curio.sleep(_SILENCE_S)
         return response
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from cardamomflow import discovery
 from tests import hostworld, loops
 
 
@@ -281,6 +282,28 @@
 
         self.assertTrue(hostworld.run_scenario(scenario))
 
+    def test_host_that_vanishes_while_it_lists_itself_does_so_again(self):
+        """Guards against a host that renews the lease of no entry.
+
+        Its entry is removed before the store has answered its announcement.
+        """
+
+        async def scenario(world):
+            key = 'hosts/host-1'
+            await loops.until(lambda: key in world.store.items_by_key)
+            world.store.answer_delay_s = 0.4  # less than the host's time-out
+            world.store.remove(key)
+            await loops.until(lambda: key in world.store.items_by_key, 10)
+            world.store.remove(key)
+            world.store.answer_delay_s = 0
+            await loops.until(lambda: key in world.store.items_by_key, 10)
+            return True
+
+        with mock.patch.multiple(
+            discovery, ANNOUNCE_INTERVAL_S=0.2, CHANGE_BATCHING_S=0.02
+        ):
+            self.assertTrue(hostworld.run_scenario(scenario))
+
     def test_readiness_follows_the_routes(self):
         """Guards against callers that are sent to a host without routes."""
 
