Use no connection with a late copy of an answer

Cause: an answer that names no request was accepted on any connection, and a connection was used again without a look at unread bytes.

Change: once an answer on a connection has named its request, each further one has to; a connection with unread bytes is not used again. The start of the requests of a query is validated once instead of 87 times, and the headers of an answer are read in one pass.

--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -7,6 +7,7 @@
 
 import abc
 import http
+import select
 import socket
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple
@@ -22,6 +23,7 @@
     links,
     register,
     requeststate,
+    routes,
     webclient,
 )
 from cardamomflow.platform import replyheaders, wire
@@ -42,6 +44,8 @@
 MAX_BUFFERED_BYTES = 33_554_432
 _RECEIVE_BYTES = 65_536
 _MS = 1000
+_LINE_END = b'\r\n'
+_END_OF_MESSAGE = h11.EndOfMessage()
 
 
 class Message(NamedTuple):
@@ -108,6 +112,24 @@
         self._clock = clock
         self._idle_by_id: dict[str, list[_Connection]] = {}
         self._busy: set[_Connection] = set()
+        # The newest message, and the event that starts its requests.
+        self._message: Message | None = None
+        self._request_event: h11.Request
+
+    def request_event(self, message: Message) -> h11.Request:
+        """Return the start of the requests of a message.
+
+        It is the same for all backend servers, up to the headers that follow
+        it, and most of the time to send it is its validation.
+        """
+        if message is not self._message:
+            self._request_event = h11.Request(
+                method=message.method,
+                target=message.target,
+                headers=message.headers,
+            )
+            self._message = message
+        return self._request_event
 
     async def send(self, attempt: requeststate.Attempt) -> None:
         """Send an attempt on an idle or a new connection."""
@@ -115,7 +137,10 @@
         idle = self._idle_by_id.get(attempt.backend_id, [])
         while idle:
             connection = idle.pop()
-            if connection.usable_until > now:
+            if (
+                connection.usable_until > now
+                and not connection.has_unread_bytes()
+            ):
                 await self._send_on(connection, attempt)
                 return
             await connection.close()
@@ -248,10 +273,16 @@
         self._headers_by_name: dict[bytes, bytes] = {}
         self._body = bytearray()
         self._request_id = b''
+        # Whether answers on this connection name their request.
+        self._echoes_ids = False
         self._interim_count = 0
         self._outcome = limits.CallOutcome.FAILED
         self._closed = False
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether unexpected bytes or the end of the stream wait."""
+        return bool(links.pending_events(self._sock, select.POLLIN))
+
     async def send(self, attempt: requeststate.Attempt) -> None:
         """Send the request of an attempt."""
         self.attempt = attempt
@@ -297,18 +328,15 @@
 
     def _serialize(self, message: Message, deadline: float) -> bytes:
         remaining_ms = max(1, int((deadline - self._clock()) * _MS))
-        headers = [
-            *message.headers,
-            (wire.DEADLINE, b'%d' % remaining_ms),
-            (wire.BACKEND_ID, self.backend_id.encode()),
+        head = self._protocol.send(self._transport.request_event(message))
+        blocks = [
+            head.removesuffix(_LINE_END),
+            b'%s: %d\r\n' % (wire.DEADLINE, remaining_ms),
+            b'%s: %s\r\n\r\n' % (wire.BACKEND_ID, self.backend_id.encode()),
         ]
-        request = h11.Request(
-            method=message.method, target=message.target, headers=headers
-        )
-        blocks = [self._protocol.send(request)]
         if message.body:
             blocks.append(self._protocol.send(h11.Data(data=message.body)))
-        blocks.append(self._protocol.send(h11.EndOfMessage()))
+        blocks.append(self._protocol.send(_END_OF_MESSAGE))
         return b''.join(blocks)
 
     async def _receive(self) -> bool:
@@ -349,10 +377,19 @@
         and several signatures would name parts that the body lacks.
         """
         self._status = response.status_code
-        self._headers = response.headers
-        self._headers_by_name = dict(response.headers)
+        self._headers = [
+            (name.lower(), content)
+            for name, content in response.headers.raw_items()
+        ]
+        self._headers_by_name = dict(self._headers)
         echoed_id = self._headers_by_name.get(wire.REQUEST_ID)
-        if echoed_id not in {None, self._request_id}:
+        if echoed_id is None:
+            # A late copy of an earlier answer may lack the id.
+            if self._echoes_ids:
+                return False
+        elif echoed_id == self._request_id:
+            self._echoes_ids = True
+        else:
             return False
         return not _is_success(self._status) or replyheaders.is_signature(
             self._headers_by_name.get(wire.STAMP, b'')
@@ -393,21 +430,31 @@
         is_busy = self._status == http.HTTPStatus.SERVICE_UNAVAILABLE
         return requeststate.Reply(
             status=self._status,
-            headers=[
-                (name, content)
-                for name, content in self._headers
-                if name not in wire.CONNECTION_HEADERS
-            ],
+            headers=self._headers_to_forward(
+                self.attempt.subrequest.work.route
+            ),
             body=body,
             stamp=None if stamp is None else stamp.decode('latin-1'),
             not_run=misdirected or wire.NOT_RUN in headers_by_name,
             misdirected=misdirected,
-            load=replyheaders.parse_load(headers_by_name),
+            load=replyheaders.parse_load(headers_by_name.get(wire.LOAD, b'')),
             leaving=self._leaving_notice if notices.is_leaving else None,
             pause_s=notices.pause_s if is_busy else 0,
             invalid_headers=notices.invalid,
         )
 
+    def _headers_to_forward(
+        self, route: routes.Route
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers for the caller; a part has none of its own."""
+        if route.merges_answers:
+            return []
+        return [
+            (name, content)
+            for name, content in self._headers
+            if name not in wire.CONNECTION_HEADERS
+        ]
+
     async def _clean_up(self) -> None:
         self._closed = True
         self.usable_until = float('-inf')
--- a/cardamomflow/platform/replyheaders.py
+++ b/cardamomflow/platform/replyheaders.py
@@ -4,6 +4,7 @@
 `Notices.invalid`; it never fails the answer.
 """
 
+import functools
 import math
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
@@ -14,6 +15,8 @@
 # Longer pauses are shortened, so that a faulty value can't exclude a backend
 # server for good.
 MAX_PAUSE_S = 60.0
+# Load reports that are decoded once; most are of a few small numbers.
+KNOWN_REPORTS = 1024
 _LOAD_FIELD_COUNT = 3
 # A number with more digits is not a plausible time or load, and `int` raises an
 # error for more than 4,300 digits.
@@ -80,11 +83,10 @@
     return math.inf
 
 
-def parse_load(
-    headers_by_name: Mapping[bytes, bytes],
-) -> requeststate.Load | None:
+@functools.lru_cache(maxsize=KNOWN_REPORTS)
+def parse_load(report: bytes) -> requeststate.Load | None:
     """Return the reported load, None without a valid report."""
-    numbers = headers_by_name.get(wire.LOAD, b'').split(b',')
+    numbers = report.split(b',')
     if len(numbers) != _LOAD_FIELD_COUNT:
         return None
     if not all(_is_number(number.strip()) for number in numbers):
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -4,6 +4,7 @@
 import functools
 import itertools
 import pathlib
+import re
 import socket
 import struct
 import threading
@@ -12,6 +13,8 @@
 
 import curio
 
+from cardamomflow import requeststate
+from cardamomflow.platform import backendlink
 from tests import hostworld, loops
 
 RECORD = hostworld.record(7)
@@ -24,6 +27,7 @@
     b'connection: close\r\n'
     b'\r\n'
 )
+KEPT_HEAD = HEAD.replace(b'connection: close\r\n', b'').replace(b'r1', b'%s')
 COMPLETE = HEAD + RECORD
 CHUNKED = HEAD.replace(b'content-length: 16', b'transfer-encoding: chunked')
 UNTIL_CLOSE = HEAD.replace(b'content-length: 16\r\n', b'')
@@ -79,11 +83,13 @@
 class RawBackendWorld(hostworld.HostWorld):
     """A host whose only backend server is a `RawBackend`."""
 
+    backend_class = RawBackend
+
     def __init__(self):
         super().__init__(services=('a',), replicas=0)
 
     async def __aenter__(self):
-        self.backend = RawBackend()
+        self.backend = self.backend_class()
         self._ports_by_id['a0'] = self.backend.port
         self.list_backend('a0', 'a')
         await super().__aenter__()
@@ -295,3 +301,107 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class RepeatingBackend(RawBackend):
+    """Keeps connections open and sends each answer once more, later.
+
+    The body of an answer is the number of requests so far.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.stale_head = b''
+        # When the copy is sent: with the next answer, or after this time.
+        self.delay_s = None
+        self.connections = 0
+        self.sent_copies = 0
+        self._requests = 0
+
+    def _answer(self, client):
+        client.settimeout(LONGEST_ANSWER_S)
+        self.connections += 1
+        copy = b''
+        with client, contextlib.suppress(OSError):
+            while request := client.recv(65_536):
+                self._requests += 1
+                request_id = re.search(rb'x-request-id: (\S+)', request)[1]
+                body = hostworld.record(self._requests)
+                head = KEPT_HEAD % request_id
+                client.sendall(copy + head + body)
+                copy = (self.stale_head or head) + body
+                if self.delay_s is not None:
+                    time.sleep(self.delay_s)
+                    client.sendall(copy)
+                    self.sent_copies += 1
+                    copy = b''
+
+
+class RepeatingBackendWorld(RawBackendWorld):
+    """A host whose only backend server is a `RepeatingBackend`."""
+
+    backend_class = RepeatingBackend
+
+
+def wait_without_loop(condition):
+    """Block the event loop until a condition holds."""
+    while not condition():
+        time.sleep(0.01)
+
+
+class LateCopyTest(unittest.TestCase):
+    """A second copy of an answer on a connection that is used again."""
+
+    def test_copy_before_the_next_answer_is_not_taken_for_it(self):
+        """Guards against a caller that gets the answer of another one."""
+
+        async def scenario(world, stale_head):
+            world.backend.stale_head = stale_head
+            return [
+                await world.send_request(
+                    '/statement/x', request_id=f'r{number}'
+                )
+                for number in range(4)
+            ]
+
+        for stale_head in (
+            b'',
+            KEPT_HEAD.replace(b'x-request-id: %s\r\n', b''),
+        ):
+            with self.subTest(has_id=not stale_head):
+                answers = hostworld.run_scenario(
+                    functools.partial(scenario, stale_head=stale_head),
+                    RepeatingBackendWorld,
+                )
+                bodies = [
+                    answer.body for answer in answers if answer.status == 200
+                ]
+                self.assertEqual(answers[0].body, hostworld.record(1))
+                self.assertEqual(len(bodies), len(set(bodies)))
+
+    def test_connection_with_an_unread_copy_is_not_used(self):
+        """Guards against a request that is lost to a copy it can't use."""
+
+        async def scenario(world):
+            world.backend.delay_s = 0.3
+            await world.send_request('/statement/x', request_id='r1')
+            (idle,) = world.host.transport._idle_by_id['a0']
+            wait_without_loop(idle.has_unread_bytes)
+            route = world.host.route('shop.example', '/statement/x')
+            message = backendlink.Message(
+                b'GET',
+                b'/statement/x',
+                [(b'host', b'shop.example'), (b'x-request-id', b'r2')],
+                b'',
+                b'r2',
+            )
+            work = await world.host.answer(
+                route, message, requeststate.TimeBudget(2)
+            )
+            return work.subrequests[0].reply.body, world.backend.connections
+
+        body, connections = hostworld.run_scenario(
+            scenario, RepeatingBackendWorld
+        )
+        self.assertEqual(body, hostworld.record(2))
+        self.assertEqual(connections, 2)
