Share queries where shards have replicas in few of many zones

Change: a zone is a home if it has more than half as many services as the best one. Services that the own zone lacks are owned by hosts of zones that have them, the zone with the most first; one changed entry moves no other service. A zone with few services has fewer owners, so that each gets about four.

--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -28,6 +28,7 @@
     requeststate,
     routes,
     serverconnection,
+    servicezones,
     zonewatch,
 )
 from cardamomflow.platform import front
@@ -150,16 +151,17 @@
         """Update the hosts that parts of queries can be handed over to."""
         handover_services = self._dispatcher.handed_over_services
         services_by_zone = self.directory.services_by_zone(handover_services)
-        home_zones = frozenset(
-            zone
-            for zone, services in services_by_zone.items()
-            if 2 * len(services) > len(handover_services)
-        )
+        home_zones = servicezones.home_zones(services_by_zone)
         own_zone = self.settings['host']['availability_zone']
-        remote_services = handover_services - services_by_zone.get(
-            own_zone, set()
+        placement = ownership.Placement(
+            len(services_by_zone.get(own_zone, ())),
+            servicezones.remote_services(
+                {zone: services_by_zone[zone] for zone in home_zones},
+                handover_services,
+                own_zone,
+            ),
         )
-        if await self.peer_client.apply(members, home_zones, remote_services):
+        if await self.peer_client.apply(members, home_zones, placement):
             self._update_sharing(self._host_count)
 
     def apply_settings(self, document: Any) -> reloading.ReloadResult:
--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -9,7 +9,7 @@
 
 import hashlib
 import math
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Collection, Container, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from cardamomflow import authorities, routing
@@ -23,6 +23,11 @@
 # zone. With more hosts, their merged answers are as large as the parts; with
 # fewer, these hosts are overloaded.
 REMOTE_OWNERS = 8
+# Services for each owner, from which the number of owners of a zone follows.
+# With more services, a query without the parts of one owner misses more of them
+# than most routes allow.
+SERVICES_PER_OWNER = 4
+SERVICES_PER_REMOTE_OWNER = 3
 _SCORES = 1 << 64  # noqa: WPS432  # scores have 64 bits
 
 
@@ -46,6 +51,28 @@
     capacity: float
 
 
+class Placement(NamedTuple):
+    """Where the services of large queries have backend servers.
+
+    Attributes
+    ----------
+    local_count : int
+        Number of services with backend servers in the own zone.
+    remote_services_by_zone : mapping of str to frozenset of str
+        The other services, by the zone whose hosts own them.
+    """
+
+    local_count: int
+    remote_services_by_zone: Mapping[str, frozenset[str]]
+
+
+class _RemoteGroup(NamedTuple):
+    """Services that the own zone lacks, and their owners in another zone."""
+
+    services: Container[str]
+    owners: tuple[Member, ...]
+
+
 class Ownership:
     """The owners of services as one host sees them.
 
@@ -56,7 +83,7 @@
     owners_per_service : int
         Owners of one service among all hosts, if these have the same list.
     remote_owners : tuple of Member
-        Hosts of another zone that own the services without backend servers in
+        Hosts of other zones that own the services without backend servers in
         the own zone.
     groups : list of tuple of Member
         Groups of hosts that share the services, in order of preference. The
@@ -70,14 +97,17 @@
         self.own = own
         self.remote_owners: tuple[Member, ...] = ()
         self._zone = own.availability_zone
-        self._remote_services: Container[str] = ()
-        self._ranked_by_key: dict[tuple[bool, str, str], tuple[str, ...]] = {}
+        self._remote_groups: list[_RemoteGroup] = []
+        # The hosts of each group that own services, in the order of groups.
+        self._owners_by_group: list[tuple[Member, ...]] = [(own,)]
+        self._ranked_by_key: dict[tuple[int, str], tuple[str, ...]] = {}
 
     def apply(
         self,
         members: Iterable[Member],
         serving_zones: Container[str],
         remote_services: Container[str] = (),
+        placement: 'Placement | None' = None,
     ) -> None:
         """Update the owners from a list of hosts.
 
@@ -94,6 +124,9 @@
         remote_services : container of str
             Services without backend servers in the own zone. A few hosts of
             another zone own them.
+        placement : Placement, optional
+            Where the services have backend servers. Without it, every zone is
+            taken to have all of them, and one zone owns the remote services.
         """
         by_id = {member.host_id: member for member in members}
         by_id[self.own.host_id] = self.own
@@ -108,10 +141,29 @@
         self.owners_per_service = sum(
             _group_count(by_zone[zone]) for zone in used_zones
         )
-        self.remote_owners = self._choose_remote_owners(
-            [by_zone[zone] for zone in used_zones if zone != self._zone]
+        other_zones = {
+            zone: by_zone[zone] for zone in used_zones if zone != self._zone
+        }
+        if placement is None:
+            self._owners_by_group = self.groups
+            self._remote_groups = self._choose_remote_group(
+                other_zones, remote_services
+            )
+        else:
+            count = _owner_count(placement.local_count, SERVICES_PER_OWNER)
+            self._owners_by_group = [
+                _choose_owners(group, count) for group in self.groups
+            ]
+            self._remote_groups = [
+                self._create_remote_group(other_zones[zone], services)
+                for zone, services in placement.remote_services_by_zone.items()
+                if zone in other_zones
+            ]
+        self.remote_owners = tuple(
+            dict.fromkeys(
+                owner for group in self._remote_groups for owner in group.owners
+            )
         )
-        self._remote_services = remote_services
         self._ranked_by_key.clear()
 
     @property
@@ -126,7 +178,8 @@
 
     def owns(self, service: str) -> bool:
         """Whether this host is the first owner of a service."""
-        return self._rank_owners(self.groups[0], service)[0] == self.own.host_id
+        own_id = self.own.host_id
+        return self._rank_owners(self._owners_by_group[0], service)[0] == own_id
 
     def assign(
         self, services: Sequence[str], usable: Container[str]
@@ -139,24 +192,34 @@
         usable : container of str
             Ids of other hosts to which parts can be handed over now.
         """
-        default_group = self._first_usable(usable)
-        are_remote_owners_usable = self._is_usable(self.remote_owners, usable)
+        default_owners = self._first_usable(usable)
+        remote_groups = [
+            group
+            for group in self._remote_groups
+            if self._is_usable(group.owners, usable)
+        ]
         services_by_host: dict[str, list[str]] = {}
         for service in services:
-            is_remote = (
-                are_remote_owners_usable and service in self._remote_services
+            owners = next(
+                (
+                    group.owners
+                    for group in remote_groups
+                    if service in group.services
+                ),
+                default_owners,
             )
-            group = self.remote_owners if is_remote else default_group
-            owner = self._choose_owner(group, service, usable)
+            owner = self._choose_owner(owners, service, usable)
             services_by_host.setdefault(owner, []).append(service)
         return services_by_host
 
     def _first_usable(self, usable: Container[str]) -> tuple[Member, ...]:
-        """Return the first group of which at least half is usable."""
-        for group in self.groups:
+        """Return the owners of the first group of which half is usable."""
+        for group, owners in zip(
+            self.groups, self._owners_by_group, strict=True
+        ):
             if self._is_usable(group, usable):
-                return group
-        return self.groups[0]
+                return owners
+        return self._owners_by_group[0]
 
     def _is_usable(
         self, group: tuple[Member, ...], usable: Container[str]
@@ -182,7 +245,8 @@
         self, group: tuple[Member, ...], service: str
     ) -> tuple[str, ...]:
         """Return the best owners of a service, the best one first."""
-        key = (group is self.remote_owners, group[0].host_id, service)
+        # The groups are kept until `apply`, which clears this cache.
+        key = (id(group), service)
         ranked = self._ranked_by_key.get(key)
         if ranked is None:
             best = sorted(
@@ -193,22 +257,34 @@
             self._ranked_by_key[key] = ranked
         return ranked
 
-    def _choose_remote_owners(
-        self, zones: list[list[Member]]
-    ) -> tuple[Member, ...]:
+    def _choose_remote_group(
+        self,
+        hosts_by_zone: Mapping[str, Sequence[Member]],
+        services: Container[str],
+    ) -> list['_RemoteGroup']:
         """Return the owners of remote services, the same for all of a zone."""
-        if not zones:
-            return ()
-        chosen_zone = min(
-            zones,
-            key=lambda zone: routing.score(
-                zone[0].availability_zone, self._zone
-            ),
+        if not hosts_by_zone:
+            return []
+        zone = min(
+            hosts_by_zone, key=lambda name: routing.score(name, self._zone)
         )
-        ranked = sorted(
-            chosen_zone, key=lambda member: _distance(self._zone, member)
+        owners = self._nearest_hosts(hosts_by_zone[zone], REMOTE_OWNERS)
+        return [_RemoteGroup(services, owners)]
+
+    def _create_remote_group(
+        self, hosts: Sequence[Member], services: Collection[str]
+    ) -> '_RemoteGroup':
+        """Return the owners of the services of one other zone."""
+        count = _owner_count(len(services), SERVICES_PER_REMOTE_OWNER)
+        return _RemoteGroup(
+            services, self._nearest_hosts(hosts, min(REMOTE_OWNERS, count))
         )
-        return tuple(ranked[:REMOTE_OWNERS])
+
+    def _nearest_hosts(
+        self, hosts: Sequence[Member], count: int
+    ) -> tuple[Member, ...]:
+        ranked = sorted(hosts, key=lambda member: _distance(self._zone, member))
+        return tuple(ranked[:count])
 
     def _zone_order(self, zone: str) -> tuple[bool, int]:
         """Return a sort key: own zone first, others by a hash for this host."""
@@ -245,6 +321,19 @@
     )
 
 
+def _choose_owners(group: tuple[Member, ...], count: int) -> tuple[Member, ...]:
+    """Return the hosts of a group that own services."""
+    if count >= len(group):
+        return group
+    # All hosts of a running fleet use this hash key, so it must not change.
+    ranked = sorted(group, key=lambda member: _distance('owners', member))
+    return tuple(ranked[:count])
+
+
+def _owner_count(services: int, services_per_owner: int) -> int:
+    return max(1, math.ceil(services / services_per_owner))
+
+
 def _group_count(hosts: Sequence[Member]) -> int:
     return math.ceil(len(hosts) / MAX_GROUP_HOSTS)
 
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -29,7 +29,10 @@
 # Time for which a host stays an owner after its entry is missing. It is longer
 # than an outage of the platform and the recovery from it.
 MEMBER_RETENTION_S = 30.0
-_OwnershipInputs = tuple[set[ownership.Member], frozenset[str], frozenset[str]]
+_OwnershipInputs = tuple[
+    set[ownership.Member], frozenset[str], ownership.Placement
+]
+_NO_PLACEMENT = ownership.Placement(0, {})
 _CLOSE_POLL_S = 0.02
 
 
@@ -120,7 +123,7 @@
         self._ownership_inputs: _OwnershipInputs = (
             set(),
             frozenset(),
-            frozenset(),
+            _NO_PLACEMENT,
         )
         self._expires_at_by_member: dict[ownership.Member, float] = {}
 
@@ -128,7 +131,7 @@
         self,
         members: Iterable[ownership.Member],
         backend_zones: frozenset[str],
-        remote_services: frozenset[str],
+        placement: ownership.Placement,
     ) -> bool:
         """Update owners and links; return whether the owners changed.
 
@@ -141,8 +144,8 @@
         members : iterable of ownership.Member
         backend_zones : frozenset of str
             Zones with backend servers of the services that are handed over.
-        remote_services : frozenset of str
-            Services without backend servers in the own zone.
+        placement : ownership.Placement
+            Where the services that are handed over have backend servers.
         """
         if not self.is_enabled:
             return False
@@ -154,7 +157,7 @@
             for member, expires_at in self._expires_at_by_member.items()
             if expires_at > now
         }
-        inputs = (current_members, backend_zones, remote_services)
+        inputs = (current_members, backend_zones, placement)
         if inputs == self._ownership_inputs:
             return False
         self._ownership_inputs = inputs
@@ -162,7 +165,7 @@
             member: self._expires_at_by_member[member]
             for member in current_members
         }
-        self.owners.apply(current_members, backend_zones, remote_services)
+        self.owners.apply(current_members, backend_zones, placement=placement)
         # Hosts need no links when no parts are handed over.
         groups = self.owners.peers if backend_zones else []
         await self.links.apply(
