Let one host of each group watch the platform

Cause: groups were linked only where parts are handed over, and only in zones with backend servers. Everywhere else each host watched the store by itself.

Change: hosts of a zone are linked in groups of three or more in any case.

--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -85,6 +85,8 @@
     remote_owners : tuple of Member
         Hosts of other zones that own the services without backend servers in
         the own zone.
+    own_group : tuple of Member
+        Group of the own zone with this host, whether it shares services or not.
     groups : list of tuple of Member
         Groups of hosts that share the services, in order of preference. The
         first group of which half can be reached is used.
@@ -94,6 +96,7 @@
         """Start with this host as the only one."""
         self.owners_per_service = 1
         self.groups: list[tuple[Member, ...]] = [(own,)]
+        self.own_group: tuple[Member, ...] = (own,)
         self.own = own
         self.remote_owners: tuple[Member, ...] = ()
         self._zone = own.availability_zone
@@ -137,7 +140,8 @@
             zone for zone in by_zone if zone in serving_zones
         ] or list(by_zone)
         used_zones.sort(key=self._zone_order)
-        self.groups = [self._own_group(by_zone[zone]) for zone in used_zones]
+        self.own_group = self._group_in(by_zone[self._zone])
+        self.groups = [self._group_in(by_zone[zone]) for zone in used_zones]
         self.owners_per_service = sum(
             _group_count(by_zone[zone]) for zone in used_zones
         )
@@ -168,13 +172,18 @@
 
     @property
     def peers(self) -> list[list[Member]]:
-        """The other hosts of each group, the preferred group first."""
-        groups = [
-            [member for member in group if member != self.own]
-            for group in self.groups
-        ]
-        groups[0] = list(dict.fromkeys((*groups[0], *self.remote_owners)))
-        return groups
+        """The other hosts of each group, the preferred group first.
+
+        The own group and the remote owners are added to the preferred one.
+        """
+        preferred, *others = self.groups
+        linked = dict.fromkeys(
+            (*preferred, *self.remote_owners, *self.own_group)
+        )
+        return [self._without_own(group) for group in (linked, *others)]
+
+    def _without_own(self, members: Iterable[Member]) -> list[Member]:
+        return [member for member in members if member != self.own]
 
     def owns(self, service: str) -> bool:
         """Whether this host is the first owner of a service."""
@@ -293,7 +302,7 @@
             routing.score(zone, self.own.host_id),
         )
 
-    def _own_group(self, zone: list[Member]) -> tuple[Member, ...]:
+    def _group_in(self, zone: list[Member]) -> tuple[Member, ...]:
         """Return the group of a zone that this host belongs to or uses."""
         ordered = sorted(zone, key=_order_key)
         size = math.ceil(len(ordered) / _group_count(ordered))
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -29,6 +29,8 @@
 # Time for which a host stays an owner after its entry is missing. It is longer
 # than an outage of the platform and the recovery from it.
 MEMBER_RETENTION_S = 30.0
+# In smaller groups, the links cost about as much as the calls that they save.
+MINIMUM_FEED_HOSTS = 3
 _OwnershipInputs = tuple[
     set[ownership.Member], frozenset[str], ownership.Placement
 ]
@@ -166,23 +168,19 @@
             for member in current_members
         }
         self.owners.apply(current_members, backend_zones, placement=placement)
-        # Hosts need no links when no parts are handed over.
-        groups = self.owners.peers if backend_zones else []
         await self.links.apply(
             [
                 routing.Aggregator(member.host_id, member.address, member.port)
                 for member in group
             ]
-            for group in groups
+            for group in self._linked_groups()
         )
         return True
 
     @property
     def group(self) -> tuple[ownership.Member, ...]:
         """The linked hosts of the own zone with this one; empty without it."""
-        _, backend_zones, _ = self._ownership_inputs
-        group = self.owners.groups[0] if backend_zones else ()
-        return group if self.owners.own in group else ()
+        return self.owners.own_group if self._linked_groups() else ()
 
     def reachable(self) -> Container[str]:
         """Return the ids of the hosts that can receive messages now."""
@@ -273,6 +271,19 @@
         )
         await self._listener.take_back(handover, was_sent=was_sent)
 
+    def _linked_groups(self) -> list[list[ownership.Member]]:
+        """Return the hosts to link to, in order of preference.
+
+        Where no parts are handed over, only the hosts of the own group have
+        links, so that one of them can watch the platform for the others.
+        """
+        _, backend_zones, _ = self._ownership_inputs
+        if backend_zones:
+            return self.owners.peers
+        if len(self.owners.own_group) < MINIMUM_FEED_HOSTS:
+            return []
+        return self.owners.peers[:1]
+
     def _log_handover(
         self,
         event: events.Event,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -143,3 +143,18 @@
         owners = owners_of(self.hosts[0], [])
         assigned = owners.assign(SERVICES, host_ids(self.hosts))
         self.assertEqual(list(assigned), ['z1-0'])
+
+
+class OwnGroupTest(unittest.TestCase):
+    def test_hosts_without_near_servers_are_linked_too(self):
+        """Guards against zones in which every host watches the platform."""
+        hosts = [
+            member(f'{zone}-{number}', zone)
+            for zone in ('z1', 'z2')
+            for number in range(4)
+        ]
+        owners = owners_of(hosts[-1], hosts, ('z1',))
+        near = {one for one in hosts if one.availability_zone == 'z2'}
+        self.assertEqual(set(owners.own_group), near)
+        self.assertLess(near - {hosts[-1]}, set(owners.peers[0]))
+        self.assertEqual(owners.groups[0][0].availability_zone, 'z1')
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -53,6 +53,9 @@
 class FleetWorld(hostworld.HostWorld):
     """Three hosts of one zone and 30 services."""
 
+    # Too few for each host, so that parts are handed over.
+    connections = 5
+
     def __init__(self):
         super().__init__(
             SERVICES, replicas=2, zones=('z1',), peers=reserve_address()
@@ -70,11 +73,11 @@
         return self
 
     def publish(self, version, prefix='/lookup/'):
-        """Publish routes that allow too few connections for each host."""
+        """Publish routes that limit the connections."""
         super().publish(version, prefix)
         document = json.loads(self.store.items_by_key['op/config'].value)
         for service in document['services']:
-            service['max_connections'] = 5
+            service['max_connections'] = self.connections
         self.store.put('op/config', document)
 
     def hosts(self):
@@ -112,9 +115,15 @@
     )
 
 
-def play(scenario):
+class UndividedWorld(FleetWorld):
+    """A fleet whose hosts can connect to all backend servers."""
+
+    connections = 300
+
+
+def play(scenario, world=FleetWorld):
     with mock.patch.object(discovery, 'ANNOUNCE_INTERVAL_S', 0.1):
-        return hostworld.run_scenario(scenario, FleetWorld)
+        return hostworld.run_scenario(scenario, world)
 
 
 def stamps(answer):
@@ -349,7 +358,9 @@
             await until_in_force(hosts, 1)
             return calls
 
-        self.assertLessEqual(play(scenario), 2)
+        for world in (FleetWorld, UndividedWorld):
+            with self.subTest(world.__name__):
+                self.assertLessEqual(play(scenario, world), 2)
 
     def test_silent_relay_is_replaced(self):
         """Guards against changes that a frozen relay does not send."""
