Collect changes for longer while a fleet starts

Cause: each host of a fleet that starts lists itself within 3 s, each entry is a change for all others, and until it has a relay each host takes changes every 0.3 s.

Change: in its first 5 s a host without subscribers takes changes each second.

--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -33,6 +33,10 @@
 # each host that starts causes a call by every other host. The pause is short
 # compared with the 3 s for which a leaving backend server still accepts work.
 CHANGE_BATCHING_S = 0.3
+# While a fleet starts, the entry of each host is a change for all others. A
+# host that starts has few callers, and other hosts soon relay the changes.
+STARTING_S = 5.0
+STARTING_BATCHING_S = 1.0
 # An answer with this many changes may be followed by more, so the host watches
 # again without a pause. With pauses, some hosts still used the routes from
 # before an outage 5 s after its end.
@@ -130,6 +134,7 @@
         # Whether the platform may have many more changes for this host.
         self._is_behind = False
         self._confirmed_at = process_context.clock()
+        self._started_at = process_context.clock()
         self._leaving = curio.Event()
         self._own_member = ownership.own_member(process_context.settings)
         self._members_by_id: dict[str, ownership.Member | None] = {}
@@ -222,7 +227,7 @@
         )
         should_pause = changes.table is None and not self._is_behind
         if should_pause and changes.revision != revision:
-            await curio.sleep(CHANGE_BATCHING_S)
+            await curio.sleep(self._batching_s())
         return changes.revision
 
     async def _apply_update(
@@ -266,6 +271,13 @@
         )
         await self._apply_hosts(changes.hosts)
 
+    def _batching_s(self) -> float:
+        """Return how long to collect further changes."""
+        is_starting = self._clock() - self._started_at < STARTING_S
+        if is_starting and not self._peers.has_subscribers:
+            return STARTING_BATCHING_S
+        return CHANGE_BATCHING_S
+
     def _watch_wait_s(self) -> float:
         """Return how long the next watch waits for changes."""
         if 'store' in self._failing:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,6 +4,9 @@
 import json
 import random
 import unittest
+from unittest import mock
+
+import curio
 
 from cardamomflow import (
     changefeed,
@@ -115,6 +118,12 @@
         raise NotImplementedError
 
 
+class LonePeers(Peers):
+    """Peers of a host that relays to none."""
+
+    has_subscribers = False
+
+
 def apply_next_changes(peers):
     """Apply the next changes; return the number of usable servers."""
     process_context = context.create(
@@ -158,3 +167,52 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class StartTest(unittest.TestCase):
+    """Load pattern: all hosts of a fleet start, and list themselves one by one.
+
+    Each entry is a change for all hosts that have no relay yet.
+    """
+
+    def count_calls(self, started_s_ago, span_s):
+        """Return the watches of a host that has no relay."""
+        process_context = context.create(
+            users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+        )
+        source = Source()
+        follower = discovery.Follower(
+            source,
+            directory.Directory(),
+            Listener(),
+            LonePeers(),
+            process_context,
+        )
+        follower._started_at -= started_s_ago
+        revisions = []
+
+        async def watch(revision, wait_s):
+            revisions.append(revision)
+            return source.parse(page(revision + 1, changes=1))
+
+        async def follow():
+            revision = 100
+            async with curio.ignore_after(span_s):
+                while True:
+                    revision = await follower._apply_next(revision)
+
+        with mock.patch.object(source, 'watch', watch):
+            loops.run(follow)
+        return len(revisions)
+
+    def test_starting_host_makes_few_calls(self):
+        """Guards against calls that grow with the square of the fleet."""
+        span_s = 1.5 * discovery.STARTING_BATCHING_S
+        self.assertLessEqual(self.count_calls(0, span_s), 2)
+
+    def test_later_changes_are_taken_soon(self):
+        """Guards against a backend server that leaves unnoticed."""
+        span_s = 5 * discovery.CHANGE_BATCHING_S
+        self.assertGreater(
+            self.count_calls(discovery.STARTING_S + 1, span_s), 2
+        )
