Hand parts over where a host's processor is too small

Cause: parts were handed over only where connections were short.

Change: all shards of a query are handed over as well if its calls would take more than a quarter of its target on a usual host, by the median of the listed capacities.

The alerts (target 50 ms) are still late. tests.test_delegation.ChoiceTest covers both sides of the bound.

--- a/cardamomflow/delegation.py
+++ b/cardamomflow/delegation.py
@@ -17,6 +17,11 @@
 # handed over: the extra hop makes queries miss their target, for example with 8
 # hosts and 26 connections.
 MINIMUM_CONNECTIONS = 2
+# Processor time of a call to a backend server, in seconds, and the share of a
+# query's target that its calls may take. If they take longer, parts are handed
+# over although one host could keep all connections.
+CALL_PROCESSOR_S = 0.00025
+MAXIMUM_CALLS_SHARE = 0.25
 # Share of the target after which a host that sent no message counts as silent.
 # A host sends its first message when hedges are due, at 0.3 of the target.
 SILENCE_SHARE = 0.55
@@ -29,21 +34,36 @@
 
 
 def choose_services(
-    table: routes.RouteTable, host_count: int
+    table: routes.RouteTable, host_count: int, capacity: float = math.inf
 ) -> frozenset[str]:
     """Return the services whose parts are handed over.
 
     These are the shards of large queries whose backend servers accept fewer
-    than `MINIMUM_CONNECTIONS` from each host when divided among all hosts.
+    than `MINIMUM_CONNECTIONS` from each host when divided among all hosts, and
+    all shards of a query that one host could not call within its target.
+
+    Parameters
+    ----------
+    table : routes.RouteTable
+    host_count : int
+    capacity : float
+        Processor cores of a usual host.
     """
     return frozenset(
         service
-        for service in table.sharded_services(MINIMUM_SERVICES)
-        if table.connections_by_service.get(service, 1) // host_count
+        for route in table.sharded_routes(MINIMUM_SERVICES)
+        for service in route.shards
+        if _exceeds_processor(route, capacity)
+        or table.connections_by_service.get(service, 1) // host_count
         < MINIMUM_CONNECTIONS
     )
 
 
+def _exceeds_processor(route: routes.Route, capacity: float) -> bool:
+    calls_s = len(route.shards) * CALL_PROCESSOR_S / capacity
+    return calls_s > MAXIMUM_CALLS_SHARE * route.target_s
+
+
 class Handover:
     """Parts of one query that are requested from another host."""
 
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -98,7 +98,7 @@
             self.handed_over_services = frozenset()
             if sharing.owners:
                 self.handed_over_services = delegation.choose_services(
-                    self._table, sharing.hosts
+                    self._table, sharing.hosts, sharing.host_capacity
                 )
             self.occupancy.apply(
                 self._table.connections_by_service, self.handed_over_services
--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -6,6 +6,7 @@
 The burst is divided by the number of known hosts.
 """
 
+import math
 from collections.abc import Callable, Container
 from typing import NamedTuple
 
@@ -37,6 +38,8 @@
         when no service is handed over.
     is_owner : callable
         Takes a service and returns whether this host is one of its owners.
+    host_capacity : float
+        Processor cores of a usual host.
     """
 
     hosts: int
@@ -44,6 +47,7 @@
     extra_burst: float
     owners: int = 0
     is_owner: Callable[[str], bool] = _owns_no_service
+    host_capacity: float = math.inf
 
     def host_burst(self, service: str, *, is_handed_over: bool) -> float:
         """Return this host's part of the burst for a service.
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -5,6 +5,7 @@
 backend servers itself, so no aggregator is needed.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -92,6 +93,7 @@
         self._answer_time = answertime.AnswerTime()
         self._register_gauges()
         self._host_count = INITIAL_HOST_COUNT
+        self._usual_capacity = math.inf
         self._keep_host_count_until = float('-inf')
         self._update_sharing(self._host_count)
 
@@ -149,6 +151,13 @@
         self, members: Iterable[ownership.Member]
     ) -> None:
         """Update the hosts that parts of queries can be handed over to."""
+        members = list(members)
+        capacity = ownership.usual_capacity(
+            [self.peer_client.owners.own, *members]
+        )
+        if capacity != self._usual_capacity:
+            self._usual_capacity = capacity
+            self._update_sharing(self._host_count)
         handover_services = self._dispatcher.handed_over_services
         services_by_zone = self.directory.services_by_zone(handover_services)
         home_zones = servicezones.home_zones(services_by_zone)
@@ -350,6 +359,7 @@
                 if self.peer_client.is_enabled
                 else 0,
                 self.peer_client.owners.owns,
+                self._usual_capacity,
             )
         )
 
--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -9,6 +9,7 @@
 
 import hashlib
 import math
+import statistics
 from collections.abc import Collection, Container, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
@@ -330,6 +331,11 @@
     )
 
 
+def usual_capacity(members: Iterable[Member]) -> float:
+    """Return the median capacity of hosts in processor cores."""
+    return statistics.median(member.capacity for member in members)
+
+
 def _choose_owners(group: tuple[Member, ...], count: int) -> tuple[Member, ...]:
     """Return the hosts of a group that own services."""
     if count >= len(group):
--- a/cardamomflow/routes.py
+++ b/cardamomflow/routes.py
@@ -7,7 +7,7 @@
 import collections
 import math
 import random as random_module
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from cardamomflow import rules
@@ -162,14 +162,9 @@
             (route.all_services(), route.needed_parts) for route in self._routes
         }
 
-    def sharded_services(self, minimum: int) -> frozenset[str]:
-        """Return the shards of all routes with at least `minimum` shards."""
-        return frozenset(
-            service
-            for route in self._routes
-            if len(route.shards) >= minimum
-            for service in route.shards
-        )
+    def sharded_routes(self, minimum: int) -> Iterator[Route]:
+        """Yield the routes with at least `minimum` shards."""
+        return (route for route in self._routes if len(route.shards) >= minimum)
 
     def services(self) -> set[str]:
         """Return the services of all routes."""
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -116,14 +116,14 @@
 
 
 class ChoiceTest(unittest.TestCase):
-    def choose(self, hosts, connections, services=SERVICES):
+    def choose(self, hosts, connections, services=SERVICES, **capacity):
         table = routes.RouteTable(
             1,
             [test_dispatching.make_route(services)],
             dict.fromkeys(services, connections),
             routes.Limits(1, 1, 1, 1),
         )
-        return delegation.choose_services(table, hosts)
+        return delegation.choose_services(table, hosts, **capacity)
 
     def test_many_hosts_hand_services_over_to_owners(self):
         """Guards against a new connection for each request."""
@@ -133,6 +133,21 @@
         """Guards against an extra hop without benefit."""
         self.assertEqual(self.choose(8, 26), set())
 
+    def test_small_hosts_share_their_calls(self):
+        """Guards against queries whose calls take longer than their target.
+
+        Load pattern: queries over many shards on hosts with a tenth of a
+        processor core, where each host could keep all connections.
+        """
+        calls_s = len(SERVICES) * delegation.CALL_PROCESSOR_S
+        target_s = test_dispatching.make_route().target_s
+        capacity = calls_s / (delegation.MAXIMUM_CALLS_SHARE * target_s)
+        for size, chosen in ((0.9, set(SERVICES)), (1.1, set())):
+            with self.subTest(size):
+                self.assertEqual(
+                    self.choose(8, 120, capacity=size * capacity), chosen
+                )
+
     def test_small_queries_are_not_divided(self):
         """Guards against two hops where one host is faster."""
         self.assertEqual(self.choose(66, 55, SERVICES[:10]), set())
