--- a/Makefile
+++ b/Makefile
@@ -53,10 +53,10 @@
 	$(PYTHON) -m tools.suite --promises
 
 days: $(STAMP)
-	$(PYTHON) -m tests.playdays days
+	$(PYTHON) -m tests.playdays days $(SITES) --jobs $(or $(JOBS),3) $(if $(SMALL),--small)
 
 hunt: $(STAMP)
-	$(PYTHON) -m tests.playdays hunt $(SITE) --days $(or $(DAYS),40)
+	$(PYTHON) -m tests.playdays hunt $(SITE) --days $(or $(DAYS),40) --jobs $(or $(JOBS),3) $(if $(SMALL),--small)
 
 soak: $(STAMP)
 	$(PYTHON) -m soak --first $(or $(FIRST),1) --seeds $(or $(SEEDS),50)
