Refuse requests for parts that can't be sent

Cause: a request for parts whose head no request can have was found when its first attempt was sent. Its task ended then, and all attempts that had been decided stayed in flight, so their places at the backend servers were lost.

Change: the head is checked when the message arrives; the message ends its link as other malformed ones do.

--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -25,6 +25,7 @@
     routing,
 )
 from cardamomflow.generated import wire_pb2
+from cardamomflow.platform import backendlink
 
 # Time for which a host stays an owner after its entry is missing. It is longer
 # than an outage of the platform and the recovery from it.
@@ -430,6 +431,8 @@
         self, link: linkkeepalive.WireLink, request: wire_pb2.PartsRequest
     ) -> None:
         work = delegatedparts.build_work(request, self._clock())
+        # Fails here and not once attempts were decided, which would never end.
+        backendlink.create_request_event(work.message)
         peer_request = _PeerRequest(link, work, request.attempt_id)
         requests_by_attempt = self._requests_by_link[link]
         requests_by_attempt[request.attempt_id] = peer_request
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -67,6 +67,26 @@
     request_id: bytes
 
 
+def create_request_event(message: Message) -> h11.Request:
+    """Return the start of the requests of a message.
+
+    Raises
+    ------
+    errors.ProtocolViolation
+        The message can't be sent as a request.
+    """
+    try:
+        return h11.Request(
+            method=message.method,
+            target=message.target,
+            headers=message.headers,
+        )
+    except h11.LocalProtocolError as error:
+        raise errors.ProtocolViolation(
+            f'no request can have this head: {error}'
+        ) from error
+
+
 class AttemptListener(abc.ABC):
     """Receives the results of attempts."""
 
@@ -123,11 +143,7 @@
         it, and most of the time to send it is its validation.
         """
         if message is not self._message:
-            self._request_event = h11.Request(
-                method=message.method,
-                target=message.target,
-                headers=message.headers,
-            )
+            self._request_event = create_request_event(message)
             self._message = message
         return self._request_event
 
