Start failed tasks again that no request depends on

Cause: any background task that failed ended its host, also that of the settings file, the log's summaries or the metrics page.

Change: these are logged and started again after a second.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -169,7 +169,9 @@
     caller_server, readiness_server : webserver.WebServer
         Already listening; their `serve` has still to be run.
     tasks : tuple of callables
-        Background loops that run until the process ends.
+        Background loops that run until the process ends, which ends with them.
+    restartable_tasks : tuple of callables
+        Background loops that no request depends on.
     follower : following.Follower
     peer_listener : LinkServer or None
         Accepts links of other hosts; already listening.
@@ -181,6 +183,7 @@
     caller_server: webserver.WebServer
     readiness_server: webserver.WebServer
     tasks: tuple[Callable[[], Awaitable[Any]], ...]
+    restartable_tasks: tuple[Callable[[], Awaitable[Any]], ...]
     follower: discovery.Follower
     peer_listener: LinkServer | None
     peer_server: peering.PeerServer
@@ -222,10 +225,12 @@
             program.peer_client.links.run,
             feed_links.run,
             *(() if peer_listener is None else (peer_listener.serve,)),
-            *_log_tasks(process_context, program.request_log),
             follower.follow,
             follower.expire_backends,
             follower.announce,
+        ),
+        (
+            *_log_tasks(process_context, program.request_log),
             looplag.LoopLag(process_context).run,
             *metricspage.create_tasks(
                 process_context, process_context.settings.get('metrics')
@@ -252,9 +257,9 @@
     await supervisor.start(
         components.caller_server.serve,
         components.readiness_server.serve,
-        watch.run,
         *components.tasks,
     )
+    await supervisor.start_restartable(watch.run, *components.restartable_tasks)
     process_context.journal.info(
         events.Event.STARTED,
         port=components.caller_server.port,
--- a/cardamomflow/shutdown.py
+++ b/cardamomflow/shutdown.py
@@ -10,6 +10,8 @@
 
 from cardamomflow import events, signals
 
+# Pause before a failed task is started again, which limits its log lines.
+RESTART_DELAY_S = 1.0
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -38,6 +40,17 @@
             task = await curio.spawn(self._run, function, daemon=True)
             self._tasks.append(task)
 
+    async def start_restartable(
+        self, *functions: Callable[[], Awaitable[Any]]
+    ) -> None:
+        """Start tasks that are started again when they fail.
+
+        For functions that no request depends on.
+        """
+        for function in functions:
+            task = await curio.spawn(self._run_again, function, daemon=True)
+            self._tasks.append(task)
+
     async def wait(self) -> bool:
         """Wait until the process has to stop.
 
@@ -58,10 +71,25 @@
             # Without one of its tasks, a daemon would serve only some of its
             # functions, and nobody would notice. It stops instead, and the
             # supervisor of the host restarts it.
-            self._journal.error(
-                events.Event.TASK_FAILED,
-                task=getattr(function, '__qualname__', str(function)),
-                error=repr(error),
-                trace=traceback.format_exc(),
-            )
+            self._log_failure(function, error)
             await self._failed.set()
+
+    async def _run_again(self, function: Callable[[], Awaitable[Any]]) -> None:
+        while True:
+            try:
+                await function()
+            except Exception as error:
+                self._log_failure(function, error)
+                await curio.sleep(RESTART_DELAY_S)
+            else:
+                return
+
+    def _log_failure(
+        self, function: Callable[[], Awaitable[Any]], error: Exception
+    ) -> None:
+        self._journal.error(
+            events.Event.TASK_FAILED,
+            task=getattr(function, '__qualname__', str(function)),
+            error=repr(error),
+            trace=traceback.format_exc(),
+        )
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -65,7 +65,8 @@
         self._stack.push_async_callback(parts.host.transport.close)
         await self._serve(parts.caller_server)
         await self._serve(parts.readiness_server)
-        tasks = [await curio.spawn(loop) for loop in parts.tasks]
+        loops_to_run = (*parts.tasks, *parts.restartable_tasks)
+        tasks = [await curio.spawn(loop) for loop in loops_to_run]
         for task in tasks:
             self._stack.push_async_callback(task.cancel)
         return parts
@@ -92,7 +93,7 @@
         self.follower = parts.follower
         self.callers_port = await self._serve(parts.caller_server)
         self.ready_port = await self._serve(parts.readiness_server)
-        for loop in parts.tasks:
+        for loop in (*parts.tasks, *parts.restartable_tasks):
             self._tasks.append(await curio.spawn(loop))
         await loops.until(self._lists_all_backends)
 
