Use whole groups for zones without backend servers

Cause: found by reading: with owners chosen by zone, a zone without backend servers handed all parts to eight hosts of another one, where it used a whole group before.

Change: such a zone uses the groups of another one as before. A refusal in a planned stop is always logged if its request must not be repeated.

Result: the new test of tests.test_service_zones failed before.

--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -162,13 +162,14 @@
         services_by_zone = self.directory.services_by_zone(handover_services)
         home_zones = servicezones.home_zones(services_by_zone)
         own_zone = self.settings['host']['availability_zone']
+        remote_services_by_zone = servicezones.remote_services(
+            {zone: services_by_zone[zone] for zone in home_zones},
+            handover_services,
+            own_zone,
+        )
+        remote_count = sum(map(len, remote_services_by_zone.values()))
         placement = ownership.Placement(
-            len(services_by_zone.get(own_zone, ())),
-            servicezones.remote_services(
-                {zone: services_by_zone[zone] for zone in home_zones},
-                handover_services,
-                own_zone,
-            ),
+            len(handover_services) - remote_count, remote_services_by_zone
         )
         if await self.peer_client.apply(members, home_zones, placement):
             self._update_sharing(self._host_count)
@@ -229,7 +230,12 @@
         try:
             time_budget = self.grace_period.limit(route, time_budget, now)
         except errors.Stopping as error:
-            self.record_refusal(message.request_id.decode('latin-1'), error)
+            self.request_log.log_refusal(
+                message.request_id.decode('latin-1'),
+                error,
+                repeatable=route.repeatable,
+                **self._platform_view(),
+            )
             raise
         work = requeststate.Work(
             route,
--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -58,7 +58,7 @@
     Attributes
     ----------
     local_count : int
-        Number of services with backend servers in the own zone.
+        Number of services that the group of a host owns.
     remote_services_by_zone : mapping of str to frozenset of str
         The other services, by the zone whose hosts own them.
     """
--- a/cardamomflow/servicezones.py
+++ b/cardamomflow/servicezones.py
@@ -36,7 +36,8 @@
     """Return the services that the own zone lacks, by the zone to ask.
 
     The zone with the most of them comes first, and takes those that no further
-    zone is used for.
+    zone is used for. A zone that is no home lacks nothing: its hosts use the
+    owners of another zone for all services.
 
     Parameters
     ----------
@@ -46,7 +47,9 @@
         All services of large queries.
     own_zone : str
     """
-    missing = set(services) - set(services_by_zone.get(own_zone, ()))
+    if own_zone not in services_by_zone:
+        return {}
+    missing = set(services) - set(services_by_zone[own_zone])
     chosen: dict[str, frozenset[str]] = {}
     step = max(1, COUNT_STEP_SHARE * len(services))
     while missing:
--- a/tests/test_service_zones.py
+++ b/tests/test_service_zones.py
@@ -93,6 +93,11 @@
         """Guards against traffic between zones without a need."""
         self.assertEqual(plan({'z0': set(SERVICES), 'z1': set(SERVICES)}), {})
 
+    def test_zone_without_backend_servers_uses_whole_groups(self):
+        """Guards against a few hosts that serve all queries of a zone."""
+        home = {'z1': set(SERVICES), 'z2': set(SERVICES)}
+        self.assertEqual(plan(home), {})
+
 
 def zones_by_service(chosen):
     return {
