Keep idle connections only where all hosts can

Change: where hosts outnumber the connections of a backend server, only the owners of its service keep idle ones.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -45,7 +45,10 @@
             process_context.random,
         )
         self.transport = backendlink.Transport(
-            backend_directory.backends_by_id, self, process_context.clock
+            backend_directory.backends_by_id,
+            self,
+            process_context.clock,
+            self.dispatcher.occupancy.keeps_idle_connections,
         )
         self.peer_client = peering.PeerClient(process_context, self)
         self._clock = process_context.clock
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -93,7 +93,9 @@
     def update_sharing(self, sharing: extraload.FleetBudget) -> None:
         """Update the number of hosts that share backend servers and budgets."""
         self._sharing = sharing
-        self.occupancy.set_host_counts(sharing.hosts, sharing.owners)
+        self.occupancy.set_host_counts(
+            sharing.hosts, sharing.owners, sharing.is_owner
+        )
         if self._table is not None:
             self.handed_over_services = frozenset()
             if sharing.owners:
--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 
 from cardamomflow import avoidedmembers, requeststate
 
@@ -31,6 +31,10 @@
 AVOID_FULL_S = 0.05
 
 
+def _owns_no_service(_: str) -> bool:
+    return False
+
+
 class Occupancy:
     """Attempts in flight, and their limit, by backend server."""
 
@@ -43,6 +47,7 @@
         self._reports_by_id: dict[str, requeststate.Load] = {}
         self._host_count = 1
         self._owner_count = 1
+        self._is_owner: Callable[[str], bool] = _owns_no_service
 
     def apply(
         self,
@@ -61,10 +66,23 @@
         self._connections_by_service = connections_by_service
         self._handed_over_services = handed_over_services
 
-    def set_host_counts(self, host_count: int, owner_count: int = 1) -> None:
-        """Set the number of all hosts and of the owners of each service."""
+    def set_host_counts(
+        self,
+        host_count: int,
+        owner_count: int = 1,
+        is_owner: Callable[[str], bool] = _owns_no_service,
+    ) -> None:
+        """Set the number of all hosts and of the owners of each service.
+
+        Parameters
+        ----------
+        host_count, owner_count : int
+        is_owner : callable
+            Takes a service and returns whether this host is an owner.
+        """
         self._host_count = host_count
         self._owner_count = owner_count
+        self._is_owner = is_owner
 
     def sending_host_count(self, service: str) -> int:
         """Return the number of hosts that send requests to a service.
@@ -81,6 +99,17 @@
         connections = self._connections_by_service.get(service, 1)
         return max(1, connections // self.sending_host_count(service))
 
+    def keeps_idle_connections(self, service: str) -> bool:
+        """Return whether this host may keep a connection that is not in use.
+
+        Idle connections of all hosts could take up those of a backend server,
+        which resets further ones.
+        """
+        connections = self._connections_by_service.get(service, 1)
+        if connections >= self._host_count:
+            return True
+        return service in self._handed_over_services and self._is_owner(service)
+
     def record_load(self, backend_id: str, load: requeststate.Load) -> None:
         """Record the load that a backend server reported."""
         self._reports_by_id[backend_id] = load
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -113,6 +113,9 @@
     listener : AttemptListener
     clock : callable
         Returns monotonic time in seconds.
+    may_keep : callable
+        Takes a service and returns whether to keep an idle connection to its
+        backend servers.
 
     Attributes
     ----------
@@ -125,8 +128,10 @@
         backends_by_id: Mapping[str, register.Backend],
         listener: AttemptListener,
         clock: Callable[[], float],
+        may_keep: Callable[[str], bool],
     ) -> None:
         self.buffered_bytes = 0
+        self._may_keep = may_keep
         self._backends_by_id = backends_by_id
         self._listener = listener
         self._clock = clock
@@ -212,7 +217,9 @@
         attempt = connection.attempt
         connection.attempt = None
         self._busy.discard(connection)
-        if connection.usable_until > self._clock():
+        if not self._may_keep(attempt.subrequest.service):
+            await connection.close()
+        elif connection.usable_until > self._clock():
             idle = self._idle_by_id.setdefault(attempt.backend_id, [])
             idle.append(connection)
         await self._listener.on_attempt_answered(attempt, reply)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -115,6 +115,12 @@
     )
 
 
+class CrowdedWorld(FleetWorld):
+    """A fleet with more hosts than connections of a backend server."""
+
+    connections = 2
+
+
 class UndividedWorld(FleetWorld):
     """A fleet whose hosts can connect to all backend servers."""
 
@@ -152,6 +158,42 @@
         self.assertEqual(own + sum(others), len(SERVICES))
         self.assertTrue(all(others))
 
+    def test_idle_connections_leave_room_for_other_hosts(self):
+        """Guards against connections that backend servers reset.
+
+        Load pattern: hosts outnumber the connections of a backend server, and
+        each one sends it a request of its own at times.
+        """
+
+        async def scenario(world):
+            document = json.loads(world.store.items_by_key['op/config'].value)
+            document['version'] = 2
+            for route in document['routes']:
+                if 'gather' not in route:
+                    route['service'] = SERVICES[0]
+            world.store.put('op/config', document)
+            await until_in_force(world.hosts(), 5)
+            for parts in world.hosts():
+                port = parts.caller_server.port
+                await world.send_request('/statement/x', port=port)
+            await world.send_request(TARGET)
+            await curio.sleep(0.1)
+            return {
+                parts.host.settings['host']['id']: (
+                    parts.host.peer_client.owners.owns(SERVICES[0]),
+                    any(
+                        parts.host.transport._idle_by_id.get(f's00{number}')
+                        for number in range(2)
+                    ),
+                )
+                for parts in world.hosts()
+            }
+
+        kept_by_id = play(scenario, CrowdedWorld)
+        self.assertEqual(len(kept_by_id), 3)
+        for is_owner, is_kept in kept_by_id.values():
+            self.assertEqual(is_kept, is_owner)
+
     def test_answer_leaves_before_the_work_of_others_is_ended(self):
         """Guards against answers that wait for messages to other hosts.
 
