--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -169,9 +169,9 @@
     caller_server, readiness_server : webserver.WebServer
         Already listening; their `serve` has still to be run.
     tasks : tuple of callables
-        Background loops that run until the process ends, which ends with them.
+        Background loops; the process ends when one fails.
     restartable_tasks : tuple of callables
-        Background loops that no request depends on.
+        Background loops that are started again when they fail.
     follower : following.Follower
     peer_listener : LinkServer or None
         Accepts links of other hosts; already listening.
--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -33,8 +33,8 @@
 # each host that starts causes a call by every other host. The pause is short
 # compared with the 3 s for which a leaving backend server still accepts work.
 CHANGE_BATCHING_S = 0.3
-# While a fleet starts, the entry of each host is a change for all others. A
-# host that starts has few callers, and other hosts soon relay the changes.
+# While a fleet starts, the entry of each host is a change for all others, and
+# no host relays changes yet.
 STARTING_S = 5.0
 STARTING_BATCHING_S = 1.0
 # An answer with this many changes may be followed by more, so the host watches
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -431,7 +431,7 @@
         self, link: linkkeepalive.WireLink, request: wire_pb2.PartsRequest
     ) -> None:
         work = delegatedparts.build_work(request, self._clock())
-        # Fails here and not once attempts were decided, which would never end.
+        # A failure after attempts were decided would leave them in flight.
         backendlink.create_request_event(work.message)
         peer_request = _PeerRequest(link, work, request.attempt_id)
         requests_by_attempt = self._requests_by_link[link]
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -144,8 +144,8 @@
     def request_event(self, message: Message) -> h11.Request:
         """Return the start of the requests of a message.
 
-        It is the same for all backend servers, up to the headers that follow
-        it, and most of the time to send it is its validation.
+        It is the same for all backend servers except for the headers that
+        `_serialize` appends, and its validation takes most of the time.
         """
         if message is not self._message:
             self._request_event = create_request_event(message)
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -53,7 +53,7 @@
     async def _read_stale(self) -> platformsource.Changes:
         """Read lists that may be seconds old, then the changes since.
 
-        Such lists cost a tenth, and a start reads many pages.
+        A page of such a list costs a tenth of the usual price.
         """
         items, revision = await self._list(wire.BACKENDS_PREFIX, allow_stale=1)
         # Watching starts at the older revision of both lists.
