Keep the connections of owners that serve other zones

Cause: idle connections were kept only by the first owner in the own zone.

Change: a connection that was used for parts of another host is kept.

--- a/cardamomflow/delegatedparts.py
+++ b/cardamomflow/delegatedparts.py
@@ -25,6 +25,8 @@
     decides when it has enough parts.
     """
 
+    is_delegated = True
+
     def __init__(
         self,
         route: routes.Route,
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -217,7 +217,11 @@
         attempt = connection.attempt
         connection.attempt = None
         self._busy.discard(connection)
-        if not self._may_keep(attempt.subrequest.service):
+        subrequest = attempt.subrequest
+        may_keep = subrequest.work.is_delegated or self._may_keep(
+            subrequest.service
+        )
+        if not may_keep:
             await connection.close()
         elif connection.usable_until > self._clock():
             idle = self._idle_by_id.setdefault(attempt.backend_id, [])
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -251,8 +251,12 @@
         Subrequests that were answered or have failed.
     needed : int
         Number of parts that an answer must contain.
+    is_delegated : bool
+        Whether another host asked for the parts.
     """
 
+    is_delegated = False
+
     def __init__(
         self,
         route: routes.Route,
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -194,6 +194,26 @@
         for is_owner, is_kept in kept_by_id.values():
             self.assertEqual(is_kept, is_owner)
 
+    def test_connections_for_other_hosts_are_kept(self):
+        """Guards against a new connection for each part of another host.
+
+        An owner may serve hosts of another zone without being the first owner
+        of its own.
+        """
+
+        async def scenario(world):
+            for parts in world.hosts():
+                parts.host._dispatcher.occupancy._is_owner = lambda _: False
+            await world.send_request(TARGET)
+            await curio.sleep(0.1)
+            return [
+                len(parts.host.transport._idle_by_id) for parts in world.hosts()
+            ]
+
+        own, *others = play(scenario, CrowdedWorld)
+        self.assertEqual(own, 0)
+        self.assertTrue(all(others))
+
     def test_answer_leaves_before_the_work_of_others_is_ended(self):
         """Guards against answers that wait for messages to other hosts.
 
