Give owners one way to be placed

Cause: found on reading the change again. Hosts always say where services have backend servers; the other branch of Ownership.apply, and the choice of one zone for all remote services, were called by tests only. The callable that owns no service stood twice.

Tests pass placements; their assertions and recorded values are unchanged.

--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -18,7 +18,8 @@
 SAFETY_FACTOR = 0.8
 
 
-def _owns_no_service(_: str) -> bool:
+def owns_no_service(_: str) -> bool:
+    """Return False: no service is handed over."""
     return False
 
 
@@ -46,7 +47,7 @@
     extra_share: float
     extra_burst: float
     owners: int = 0
-    is_owner: Callable[[str], bool] = _owns_no_service
+    is_owner: Callable[[str], bool] = owns_no_service
     host_capacity: float = math.inf
 
     def host_burst(self, service: str, *, is_handed_over: bool) -> float:
--- a/cardamomflow/occupancy.py
+++ b/cardamomflow/occupancy.py
@@ -8,7 +8,7 @@
 import collections
 from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 
-from cardamomflow import avoidedmembers, requeststate
+from cardamomflow import avoidedmembers, extraload, requeststate
 
 # Requests of all hosts that a backend server runs or queues, for each of its
 # slots. Its queue ignores ranks: if it held one request for each connection,
@@ -31,10 +31,6 @@
 AVOID_FULL_S = 0.05
 
 
-def _owns_no_service(_: str) -> bool:
-    return False
-
-
 class Occupancy:
     """Attempts in flight, and their limit, by backend server."""
 
@@ -47,7 +43,7 @@
         self._reports_by_id: dict[str, requeststate.Load] = {}
         self._host_count = 1
         self._owner_count = 1
-        self._is_owner: Callable[[str], bool] = _owns_no_service
+        self._is_owner: Callable[[str], bool] = extraload.owns_no_service
 
     def apply(
         self,
@@ -70,7 +66,7 @@
         self,
         host_count: int,
         owner_count: int = 1,
-        is_owner: Callable[[str], bool] = _owns_no_service,
+        is_owner: Callable[[str], bool] = extraload.owns_no_service,
     ) -> None:
         """Set the number of all hosts and of the owners of each service.
 
--- a/cardamomflow/ownership.py
+++ b/cardamomflow/ownership.py
@@ -110,8 +110,7 @@
         self,
         members: Iterable[Member],
         serving_zones: Container[str],
-        remote_services: Container[str] = (),
-        placement: 'Placement | None' = None,
+        placement: Placement,
     ) -> None:
         """Update the owners from a list of hosts.
 
@@ -125,12 +124,8 @@
         serving_zones : container of str
             Zones with backend servers of the services. Hosts of other zones
             hand all parts over to one of these.
-        remote_services : container of str
-            Services without backend servers in the own zone. A few hosts of
-            another zone own them.
-        placement : Placement, optional
-            Where the services have backend servers. Without it, every zone is
-            taken to have all of them, and one zone owns the remote services.
+        placement : Placement
+            Where the services have backend servers.
         """
         by_id = {member.host_id: member for member in members}
         by_id[self.own.host_id] = self.own
@@ -149,21 +144,15 @@
         other_zones = {
             zone: by_zone[zone] for zone in used_zones if zone != self._zone
         }
-        if placement is None:
-            self._owners_by_group = self.groups
-            self._remote_groups = self._choose_remote_group(
-                other_zones, remote_services
-            )
-        else:
-            count = _owner_count(placement.local_count, SERVICES_PER_OWNER)
-            self._owners_by_group = [
-                _choose_owners(group, count) for group in self.groups
-            ]
-            self._remote_groups = [
-                self._create_remote_group(other_zones[zone], services)
-                for zone, services in placement.remote_services_by_zone.items()
-                if zone in other_zones
-            ]
+        count = _owner_count(placement.local_count, SERVICES_PER_OWNER)
+        self._owners_by_group = [
+            _choose_owners(group, count) for group in self.groups
+        ]
+        self._remote_groups = [
+            self._create_remote_group(other_zones[zone], services)
+            for zone, services in placement.remote_services_by_zone.items()
+            if zone in other_zones
+        ]
         self.remote_owners = tuple(
             dict.fromkeys(
                 owner for group in self._remote_groups for owner in group.owners
@@ -267,35 +256,16 @@
             self._ranked_by_key[key] = ranked
         return ranked
 
-    def _choose_remote_group(
-        self,
-        hosts_by_zone: Mapping[str, Sequence[Member]],
-        services: Container[str],
-    ) -> list['_RemoteGroup']:
-        """Return the owners of remote services, the same for all of a zone."""
-        if not hosts_by_zone:
-            return []
-        zone = min(
-            hosts_by_zone, key=lambda name: routing.score(name, self._zone)
-        )
-        owners = self._nearest_hosts(hosts_by_zone[zone], REMOTE_OWNERS)
-        return [_RemoteGroup(services, owners)]
-
     def _create_remote_group(
         self, hosts: Sequence[Member], services: Collection[str]
-    ) -> '_RemoteGroup':
-        """Return the owners of the services of one other zone."""
+    ) -> _RemoteGroup:
+        """Return the owners of remote services, the same for all of a zone."""
         count = _owner_count(len(services), SERVICES_PER_REMOTE_OWNER)
+        ranked = sorted(hosts, key=lambda member: _distance(self._zone, member))
         return _RemoteGroup(
-            services, self._nearest_hosts(hosts, min(REMOTE_OWNERS, count))
+            services, tuple(ranked[: min(REMOTE_OWNERS, count)])
         )
 
-    def _nearest_hosts(
-        self, hosts: Sequence[Member], count: int
-    ) -> tuple[Member, ...]:
-        ranked = sorted(hosts, key=lambda member: _distance(self._zone, member))
-        return tuple(ranked[:count])
-
     def _zone_order(self, zone: str) -> tuple[bool, int]:
         """Return a sort key: own zone first, others by a hash for this host."""
         return (
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -168,7 +168,7 @@
             member: self._expires_at_by_member[member]
             for member in current_members
         }
-        self.owners.apply(current_members, backend_zones, placement=placement)
+        self.owners.apply(current_members, backend_zones, placement)
         await self.links.apply(
             [
                 routing.Aggregator(member.host_id, member.address, member.port)
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -40,7 +40,7 @@
 class DelegationTest(unittest.TestCase):
     def setUp(self):
         owners = ownership.Ownership(HOSTS[0])
-        owners.apply(HOSTS, {'z1'})
+        owners.apply(HOSTS, {'z1'}, ownership.Placement(len(SERVICES), {}))
         self.delegation = delegation.Delegation(owners)
 
     def start(self, usable=OTHERS, now=0.0, **changes):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -6,6 +6,7 @@
 from cardamomflow import ownership
 
 SERVICES = [f's{number}' for number in range(400)]
+ALL_LOCAL = ownership.Placement(len(SERVICES), {})
 
 
 def member(host_id, zone='z1', capacity=1.0):
@@ -14,7 +15,7 @@
 
 def owners_of(own, members, homes=('z1',)):
     owners = ownership.Ownership(own)
-    owners.apply(members, homes)
+    owners.apply(members, homes, ALL_LOCAL)
     return owners
 
 
@@ -121,7 +122,11 @@
         ]
         owners = ownership.Ownership(hosts[0])
         remote = frozenset(SERVICES[:100])
-        owners.apply(hosts, {'z1', 'z2'}, remote)
+        owners.apply(
+            hosts,
+            {'z1', 'z2'},
+            ownership.Placement(len(SERVICES) - len(remote), {'z2': remote}),
+        )
         assigned = owners.assign(SERVICES, host_ids(hosts))
         elsewhere = {
             host_id: services
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -568,6 +568,7 @@
                 for place, host_id in enumerate(ids)
             ],
             {'z1'},
+            ownership.Placement(90, {}),
         )
         services = [f's{number:02}' for number in range(26)]
         self.assertEqual(
@@ -595,10 +596,11 @@
     def test_group_of_another_zone(self):
         """Guards against hosts of a zone that hand parts to all others."""
         far = [self.member(f'far-{number}', 'z2') for number in range(30)]
+        remote = frozenset(f's{number:02}' for number in range(24))
         first = {}
         for host_id in ('edge-1', 'edge-2', 'edge-3', 'edge-4'):
             owners = ownership.Ownership(self.member(host_id))
-            owners.apply(far, {'z2'})
+            owners.apply(far, {'z2'}, ownership.Placement(66, {'z2': remote}))
             first[host_id] = owners.groups[0][0].host_id
         self.assertEqual(
             first,
--- a/tests/test_service_zones.py
+++ b/tests/test_service_zones.py
@@ -123,7 +123,7 @@
         owners.apply(
             self.hosts,
             servicezones.home_zones(self.services_by_zone),
-            placement=ownership.Placement(
+            ownership.Placement(
                 len(self.services_by_zone[own.availability_zone]),
                 plan(self.services_by_zone, own.availability_zone),
             ),
