--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import math
 import os
 import pathlib
 import signal
@@ -71,9 +72,13 @@
 
 
 class Store:
-    """The platform's store: linearizable, loses nothing, no outages."""
+    """The platform's store: linearizable, loses nothing, no outages.
+
+    A watch that has waited for `cut_after_s` is cut, if that is set.
+    """
 
     def __init__(self):
+        self.cut_after_s = None
         self.revision = 1
         self.items = {}
         self.events = []
@@ -138,6 +143,8 @@
                 body = await reader.readexactly(size)
                 method, target, _ = line.split(' ')
                 reply = await self._handle(method, target, body)
+                if reply is None:
+                    break
                 writer.write(encode(*reply))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -198,6 +205,9 @@
     async def _watch(self, query):
         after = int(query['after'])
         until = time.monotonic() + int(query['wait_ms']) / 1000
+        cut_at = math.inf
+        if self.cut_after_s is not None:
+            cut_at = time.monotonic() + self.cut_after_s
         while True:
             events = [
                 event
@@ -210,6 +220,9 @@
                 return json_reply(
                     200, {'events': events, 'as_of': self.revision}
                 )
+            if cut_at <= time.monotonic():
+                return None
+            left_s = min(left_s, max(0, cut_at - time.monotonic()))
             async with self._changed:
                 with contextlib.suppress(asyncio.TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), left_s)
@@ -305,6 +318,14 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def unregister(self):
+        await self.world.store.remove(f'servers/{self.backend_id}')
+
+    def stop(self):
+        """End as a process does: nothing listens, all connections close."""
+        self._server.close()
+        self.close_connections()
+
     def close_connections(self):
         for writer in list(self._writers):
             writer.close()
@@ -503,8 +524,13 @@
         return self._log.read_text()[-600:]
 
     def copy_log(self):
-        """Write the host's own log lines to the record."""
-        for line in self._log.read_text().splitlines()[-40:]:
+        """Write the host's own lines to the record, but for routine ones."""
+        lines = [
+            line.replace(str(ROOT), '.')
+            for line in self._log.read_text().splitlines()
+            if '"level": "info"' not in line
+        ]
+        for line in lines[:60]:
             self.world.record.write('log of', self.host_id, line[:400])
 
     async def stop(self):
