Show that an incomplete entry of another writer gets payments

Review case 3, ROUTE. Tried: another writer overwrites the entry of a backend of one service, without the field version and with the name of another service (review/3/run.sh).

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -280,20 +281,23 @@
     async def register(self, state):
         self.sequence += 1
         await self.world.store.put(
-            f'servers/{self.backend_id}',
-            {
-                'service': self.service,
-                'address': f'127.0.0.1:{self.port}',
-                'zone': 'z1',
-                'version': 'v1',
-                'slots': self.slots,
-                'state': state,
-                'warmup_left_ms': 0,
-                'sequence': self.sequence,
-                'born': self.born,
-            },
+            f'servers/{self.backend_id}', self.entry(state)
         )
 
+    def entry(self, state):
+        """Return the entry that the backend writes of itself."""
+        return {
+            'service': self.service,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'warmup_left_ms': 0,
+            'sequence': self.sequence,
+            'born': self.born,
+        }
+
     def log(self, *words):
         self.world.record.write(self.backend_id, *words)
 
@@ -617,6 +621,10 @@
     """Play a case and exit with 0 (held), 1 (broken) or 2 (not run)."""
 
     async def run():
+        # The host processes end too if the case is ended.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         async with World(folder) as world:
             try:
                 await asyncio.wait_for(play(world), limit_s)
@@ -632,4 +640,10 @@
             world.record.write('rules broken:', len(world.violations))
             return BROKEN if world.violations else HELD
 
-    sys.exit(asyncio.run(run()))
+    try:
+        status = asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        # A fault of the case itself, or the case was ended.
+        traceback.print_exc()
+        status = NOT_RUN
+    sys.exit(status)
