--- a/review/1/play.py
+++ b/review/1/play.py
@@ -11,16 +11,17 @@
 LONG_BYTES = 262_000
 # The client of the long request waits as long as its deadline says.
 LONG_DEADLINE_MS = 1_000
-# After the head of the long request, until the backend reads its body.
+# After an early rejection, until the backend reads the rest of the body.
 READ_ON_S = 2.0
 MOST_ROUNDS = 6
 
 
 class Backend(w.Backend):
-    """Reads the bodies of long requests late and rejects them: it is full.
+    """Rejects long requests: it is full.
 
-    With trouble, one of the two backends rejects them before the body is in
-    and keeps the connection. Otherwise the rejection follows the body.
+    With trouble, one of the two backends rejects them before the body is in,
+    keeps the connection and reads on later. Otherwise the rejection follows
+    the body.
     """
 
     is_early = False
@@ -38,8 +39,8 @@
         if self.is_early:
             self.log(connection, 'rejects', request_id, 'before its body is in')
             await self.reply(writer, headers, *rejection)
-        await asyncio.sleep(READ_ON_S)
-        self.log(connection, 'reads on in the body of', request_id)
+            await asyncio.sleep(READ_ON_S)
+            self.log(connection, 'reads on in the body of', request_id)
         try:
             body = await reader.readexactly(size)
         except asyncio.IncompleteReadError as error:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -13,6 +13,7 @@
 import math
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -24,6 +25,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST_NAME = 'shop.example'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+HOST_PORTS = (15_000, 30_000)
 
 
 class CannotRun(Exception):
@@ -439,13 +441,15 @@
 
 
 def free_ports(count):
-    """Return free loopback ports; held open until all are known."""
+    """Return free loopback ports, outside of those of outgoing connections."""
     with contextlib.ExitStack() as stack:
         ports = []
-        for _ in range(count):
+        while len(ports) < count:
             sock = stack.enter_context(socket.socket())
-            sock.bind(('127.0.0.1', 0))
-            ports.append(sock.getsockname()[1])
+            port = random.randrange(*HOST_PORTS)
+            with contextlib.suppress(OSError):
+                sock.bind(('127.0.0.1', port))
+                ports.append(port)
         return ports
 
 
