--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -552,8 +552,9 @@
 class World:
     """All of one case; ends every process that it started."""
 
-    def __init__(self, folder):
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
+    def __init__(self, folder, trouble):
+        # Whether the disruption of the case happens.
+        self.trouble = trouble
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
@@ -622,14 +623,20 @@
 
 
 def main(folder, play, limit_s=110):
-    """Play a case and exit with 0 (held), 1 (broken) or 2 (not run)."""
+    """Play a case and exit with 0 (held), 1 (broken) or 2 (not run).
+
+    The argument of the program is the value of TROUBLE; `0` leaves the
+    disruption out.
+    """
+    trouble = sys.argv[1:] != ['0']
 
     async def run():
         # The host processes end too if the case is ended.
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, asyncio.current_task().cancel
         )
-        async with World(folder) as world:
+        async with World(folder, trouble) as world:
+            world.record.write('disruption:', 'yes' if trouble else 'no')
             try:
                 await asyncio.wait_for(play(world), limit_s)
             except (CannotRun, OSError, asyncio.TimeoutError) as error:
