Close sockets to backend servers after the tasks that wait for them

Cause: the task that read an early answer with Connection: close closed the socket while another task waited to send the rest of the body. curio keeps the registration of the waiting task under the number of the descriptor, and the next socket with that number fails the event loop, and so the process.

Change: duplex.DuplexSocket counts the tasks that may wait for a socket. Its close wakes them, and the last one closes the descriptor. The stand-ins with raw bytes of test_odd_answers move to tests/rawbackend, which the new test shares.

--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -18,6 +18,7 @@
 
 from cardamomflow import (
     directory,
+    duplex,
     errors,
     limits,
     links,
@@ -291,7 +292,7 @@
         self.attempt: requeststate.Attempt | None = None
         self.usable_until = clock() + IDLE_LIMIT_S
         self.overdue_at = float('inf')
-        self._sock = sock
+        self._sock = duplex.DuplexSocket(sock)
         self._poller = select.poll()
         self._poller.register(sock.fileno(), select.POLLIN)
         self._transport = transport
@@ -350,10 +351,7 @@
         self._closed = True
         self.usable_until = float('-inf')
         self._outcome = outcome
-        try:
-            await self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
+        await self._sock.shut_down(socket.SHUT_RDWR)
 
     def _serialize(self, message: Message, deadline: float) -> bytes:
         remaining_ms = max(1, int((deadline - self._clock()) * _MS))
--- a/standins/users.py
+++ b/standins/users.py
@@ -294,7 +294,10 @@
 
 
 def configuration_document(
-    version: int, routes: list[dict[str, Any]], services: list[str]
+    version: int,
+    routes: list[dict[str, Any]],
+    services: list[str],
+    **limits: int,
 ) -> dict[str, Any]:
     """Return a configuration as the operator writes it."""
     return {
@@ -309,6 +312,7 @@
             'max_body_bytes': 100_000,
             'header_timeout_ms': 3000,
             'idle_timeout_ms': 15_000,
+            **limits,
         },
     }
 
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -32,6 +32,8 @@
 class HostWorld:
     """Runs the stand-ins and the host within an `async with` block."""
 
+    max_body_bytes = 100_000
+
     def __init__(
         self, services=('a', 'b'), replicas=2, zones=('z1',), **settings
     ):
@@ -151,6 +153,7 @@
                     ),
                 ],
                 services,
+                max_body_bytes=self.max_body_bytes,
             ),
         )
 
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -1,13 +1,11 @@
 """Backend servers that send truncated, endless or malformed answers."""
 
-import contextlib
 import functools
 import itertools
 import pathlib
 import re
 import socket
 import struct
-import threading
 import time
 import unittest
 
@@ -15,7 +13,7 @@
 
 from cardamomflow import requeststate
 from cardamomflow.platform import backendlink
-from tests import hostworld, loops
+from tests import hostworld, loops, rawbackend
 
 RECORD = hostworld.record(7)
 HEAD = (
@@ -34,74 +32,38 @@
 BLOCK = b'x' * 65_536
 # `int` accepts at most 4,300 digits.
 LONG_NUMBER = b'9' * 5000
-# Limits an endless answer, so that its thread ends.
-LONGEST_ANSWER_S = 15.0
 MAX_GROWTH_KB = 80_000
 
 
-class RawBackend:
-    """Answers each request with given bytes and closes the connection.
-
-    It runs in threads, so it can send faster than the host reads.
-    """
+class FixedBackend(rawbackend.RawBackend):
+    """Answers each request with given bytes and closes the connection."""
 
     def __init__(self):
         self.answer = COMPLETE
         self.repeated = b''
         self.resets = False
-        self._listener = socket.create_server(('127.0.0.1', 0), backlog=100)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
     def close(self):
         self.repeated = b''
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                client, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._answer, args=(client,), daemon=True
-                ).start()
-
-    def _answer(self, client):
-        client.settimeout(LONGEST_ANSWER_S)
-        with client, contextlib.suppress(OSError):
-            if not client.recv(65_536):
-                return
-            client.sendall(self.answer)
-            ends_at = time.monotonic() + LONGEST_ANSWER_S
-            while self.repeated and time.monotonic() < ends_at:
-                client.sendall(self.repeated)
-            if self.resets:
-                linger = struct.pack('ii', 1, 0)
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
-class RawBackendWorld(hostworld.HostWorld):
-    """A host whose only backend server is a `RawBackend`."""
-
-    backend_class = RawBackend
+        super().close()
 
-    def __init__(self):
-        super().__init__(services=('a',), replicas=0)
+    def _serve(self, client):
+        if not client.recv(65_536):
+            return
+        client.sendall(self.answer)
+        ends_at = time.monotonic() + rawbackend.LONGEST_ANSWER_S
+        while self.repeated and time.monotonic() < ends_at:
+            client.sendall(self.repeated)
+        if self.resets:
+            linger = struct.pack('ii', 1, 0)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    async def __aenter__(self):
-        self.backend = self.backend_class()
-        self._ports_by_id['a0'] = self.backend.port
-        self.list_backend('a0', 'a')
-        await super().__aenter__()
-        await loops.until(lambda: 'a0' in self.host.directory.backends_by_id)
-        return self
 
-    async def __aexit__(self, *exception):
-        await super().__aexit__(*exception)
-        self.backend.close()
+class FixedBackendWorld(rawbackend.RawBackendWorld):
+    """A host whose only backend server is a `FixedBackend`."""
 
-    def _lists_all_backends(self):
-        return self.host.ready
+    backend_class = FixedBackend
 
 
 def resident_kb():
@@ -117,7 +79,7 @@
         async def scenario(world):
             return await world.send_request('/statement/x')
 
-        answer = hostworld.run_scenario(scenario, RawBackendWorld)
+        answer = hostworld.run_scenario(scenario, FixedBackendWorld)
         self.assertEqual((answer.status, answer.body), (200, RECORD))
 
     def test_truncated_answer_is_not_a_success(self):
@@ -156,7 +118,7 @@
             return results
 
         for truncated, resets, path, status in hostworld.run_scenario(
-            scenario, RawBackendWorld
+            scenario, FixedBackendWorld
         ):
             with self.subTest(truncated=truncated, resets=resets, path=path):
                 self.assertGreaterEqual(status, 500)
@@ -174,7 +136,9 @@
             )
             return complete, truncated
 
-        complete, truncated = hostworld.run_scenario(scenario, RawBackendWorld)
+        complete, truncated = hostworld.run_scenario(
+            scenario, FixedBackendWorld
+        )
         self.assertEqual((complete.status, complete.body), (200, RECORD))
         self.assertGreaterEqual(truncated.status, 500)
 
@@ -206,12 +170,12 @@
             return answers, ready, ready_s, growth_kb, next_answer.status
 
         answers, ready, ready_s, growth_kb, next_status = (
-            hostworld.run_scenario(scenario, RawBackendWorld)
+            hostworld.run_scenario(scenario, FixedBackendWorld)
         )
         self.assertTrue(all(response.status >= 500 for response in answers))
         self.assertEqual((ready.status, next_status), (200, 200))
         # The host answers other requests while the backend server sends.
-        self.assertLess(ready_s, LONGEST_ANSWER_S / 2)
+        self.assertLess(ready_s, rawbackend.LONGEST_ANSWER_S / 2)
         self.assertLess(growth_kb, MAX_GROWTH_KB)
 
     def test_endless_head_is_rejected(self):
@@ -262,7 +226,7 @@
             return statuses
 
         self.assertEqual(
-            hostworld.run_scenario(scenario, RawBackendWorld), [200, 200]
+            hostworld.run_scenario(scenario, FixedBackendWorld), [200, 200]
         )
 
     def test_answer_without_exactly_one_seal_is_not_a_part(self):
@@ -275,7 +239,7 @@
                 statuses.append((await world.send_request('/lookup/x')).status)
             return statuses
 
-        for status in hostworld.run_scenario(scenario, RawBackendWorld):
+        for status in hostworld.run_scenario(scenario, FixedBackendWorld):
             self.assertGreaterEqual(status, 500)
 
     def test_malformed_deadlines_of_callers_are_ignored(self):
@@ -295,7 +259,7 @@
             return statuses
 
         self.assertEqual(
-            set(hostworld.run_scenario(scenario, RawBackendWorld)), {200}
+            set(hostworld.run_scenario(scenario, FixedBackendWorld)), {200}
         )
 
 
@@ -303,41 +267,39 @@
     unittest.main()
 
 
-class RepeatingBackend(RawBackend):
+class RepeatingBackend(rawbackend.RawBackend):
     """Keeps connections open and sends each answer once more, later.
 
     The body of an answer is the number of requests so far.
     """
 
     def __init__(self):
-        super().__init__()
         self.stale_head = b''
         # When the copy is sent: with the next answer, or after this time.
         self.delay_s = None
         self.connections = 0
         self.sent_copies = 0
         self._requests = 0
+        super().__init__()
 
-    def _answer(self, client):
-        client.settimeout(LONGEST_ANSWER_S)
+    def _serve(self, client):
         self.connections += 1
         copy = b''
-        with client, contextlib.suppress(OSError):
-            while request := client.recv(65_536):
-                self._requests += 1
-                request_id = re.search(rb'x-request-id: (\S+)', request)[1]
-                body = hostworld.record(self._requests)
-                head = KEPT_HEAD % request_id
-                client.sendall(copy + head + body)
-                copy = (self.stale_head or head) + body
-                if self.delay_s is not None:
-                    time.sleep(self.delay_s)
-                    client.sendall(copy)
-                    self.sent_copies += 1
-                    copy = b''
-
-
-class RepeatingBackendWorld(RawBackendWorld):
+        while request := client.recv(65_536):
+            self._requests += 1
+            request_id = re.search(rb'x-request-id: (\S+)', request)[1]
+            body = hostworld.record(self._requests)
+            head = KEPT_HEAD % request_id
+            client.sendall(copy + head + body)
+            copy = (self.stale_head or head) + body
+            if self.delay_s is not None:
+                time.sleep(self.delay_s)
+                client.sendall(copy)
+                self.sent_copies += 1
+                copy = b''
+
+
+class RepeatingBackendWorld(rawbackend.RawBackendWorld):
     """A host whose only backend server is a `RepeatingBackend`."""
 
     backend_class = RepeatingBackend
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -137,6 +137,6 @@
         )
         received = hostworld.run_scenario(
             functools.partial(scenario, answer=answer),
-            test_odd_answers.RawBackendWorld,
+            test_odd_answers.FixedBackendWorld,
         )
         self.assertEqual(received.status, 502)
