Send requests in the background, and reuse no connection before they are sent

Cause: a connection became free with a complete answer, though its request was not sent yet. The task of the caller sent it, and waited for a peer that did not read: it saw no early answer, cut the request when its caller left, and held up the other parts of its query.

Change: DuplexSocket.post never waits; a task of the socket sends what the operating system does not accept at once. A connection with an answer but unsent bytes is closed. test_failed_send_is_repeated makes the new call fail in place of sendall.

--- a/cardamomflow/duplex.py
+++ b/cardamomflow/duplex.py
@@ -4,15 +4,22 @@
 When the descriptor is closed meanwhile, the next socket with the same number
 meets that registration, and the loop fails with the whole process. A
 `DuplexSocket` is therefore shut down first, and closed by its last user.
+
+Messages are written by a task of the socket, not by the one that posts them. A
+caller that is cancelled can't cut a message, and a peer that does not read
+can't block its caller.
 """
 
 import socket
 
+import curio
 from curio import io as curio_io
 
 
 class DuplexSocket:
-    """A connected socket that any task may close.
+    """A connected socket that takes messages without waiting for the peer.
+
+    Any task may close it.
 
     Parameters
     ----------
@@ -22,6 +29,9 @@
 
     def __init__(self, sock: curio_io.Socket) -> None:
         self._sock = sock
+        # The `send` of curio waits while the buffer of the socket is full.
+        self._send_now = sock._socket.send  # noqa: SLF001
+        self._unsent = bytearray()
         # Number of tasks that may wait for the descriptor.
         self._users = 0
         self._is_closing = False
@@ -30,19 +40,33 @@
         """Return the file descriptor."""
         return self._sock.fileno()
 
-    async def sendall(self, payload: bytes) -> None:
-        """Send bytes; only one task may wait.
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether the operating system has not accepted all posted bytes.
 
-        Raises
-        ------
-        OSError
-            The connection failed or was shut down.
+        Stays true after a failure to send.
         """
-        self._users += 1
+        return bool(self._unsent)
+
+    async def post(self, payload: bytes) -> None:
+        """Send bytes, in the background if the peer does not read.
+
+        A failure to send ends the stream for `recv`.
+        """
+        if self._unsent:
+            self._unsent += payload
+            return
         try:
-            await self._sock.sendall(payload)
-        finally:
-            await self._end_use()
+            sent_bytes = self._send_now(payload)
+        except BlockingIOError:
+            sent_bytes = 0
+        except OSError:
+            await self.shut_down(socket.SHUT_RDWR)
+            return
+        if sent_bytes < len(payload):
+            self._unsent += memoryview(payload)[sent_bytes:]
+            self._users += 1
+            await curio.spawn(self._write, daemon=True)
 
     async def recv(self, limit: int) -> bytes:
         """Receive up to `limit` bytes; only one task may wait.
@@ -81,6 +105,22 @@
         else:
             await self._sock.close()
 
+    async def _write(self) -> None:
+        """Send the unsent bytes; the caller counted this task as a user."""
+        try:
+            await self._send_unsent()
+        except OSError:
+            # An answer that came before the failure can still be received.
+            await self.shut_down(socket.SHUT_WR)
+        finally:
+            await self._end_use()
+
+    async def _send_unsent(self) -> None:
+        while self._unsent:
+            block = bytes(self._unsent)
+            await self._sock.sendall(block)
+            del self._unsent[: len(block)]
+
     async def _end_use(self) -> None:
         self._users -= 1
         if self._is_closing and not self._users:
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -314,7 +314,7 @@
         return bool(self._poller.poll(0))
 
     async def send(self, attempt: requeststate.Attempt) -> None:
-        """Send the request of an attempt."""
+        """Send the request of an attempt, without waiting for the peer."""
         self.attempt = attempt
         attempt.connection = self
         work = attempt.subrequest.work
@@ -323,10 +323,7 @@
         self._interim_count = 0
         payload = self._serialize(work.message, work.deadline)
         attempt.sent = True
-        try:
-            await self._sock.sendall(payload)
-        except OSError:
-            await self.close(limits.CallOutcome.FAILED)
+        await self._sock.post(payload)
 
     async def run(self) -> None:
         """Read answers until the connection is closed."""
@@ -441,7 +438,12 @@
 
     async def _finish_response(self) -> bool:
         body = self._pop_body()
-        is_reusable = webclient.prepare_for_reuse(self._protocol)
+        # A peer that answers early takes what is sent next for the rest of the
+        # request.
+        is_reusable = (
+            not self._sock.has_unsent_bytes
+            and webclient.prepare_for_reuse(self._protocol)
+        )
         now = self._clock()
         idle_s = replyheaders.keep_alive_s(self._headers_by_name)
         if is_reusable:
--- a/tests/rawbackend.py
+++ b/tests/rawbackend.py
@@ -55,18 +55,27 @@
 
     def __init__(self, services=('a',)):
         super().__init__(services=services, replicas=0)
+        self._raw_backends = []
 
     async def __aenter__(self):
-        self.backend = self.backend_class()
-        self._ports_by_id['a0'] = self.backend.port
-        self.list_backend('a0', 'a')
         await super().__aenter__()
-        await loops.until(lambda: 'a0' in self.host.directory.backends_by_id)
+        self.backend = self.backend_class()
+        await self.add_raw_backend('a0', 'a', self.backend)
         return self
 
     async def __aexit__(self, *exception):
         await super().__aexit__(*exception)
-        self.backend.close()
+        for backend in self._raw_backends:
+            backend.close()
+
+    async def add_raw_backend(self, backend_id, service, backend):
+        """List a backend server, and close it at the end."""
+        self._raw_backends.append(backend)
+        self._ports_by_id[backend_id] = backend.port
+        self.list_backend(backend_id, service)
+        await loops.until(
+            lambda: backend_id in self.host.directory.backends_by_id
+        )
 
     def _lists_all_backends(self):
         return self.host.ready
--- a/tests/test_duplex.py
+++ b/tests/test_duplex.py
@@ -11,6 +11,7 @@
 
 # More than the buffers of a socket pair take up.
 LARGE = b'x' * 10_000_000
+LAST = b'end'
 
 
 def connected_pair():
@@ -55,6 +56,8 @@
             await sock.close()
             for task in tasks:
                 await task.join()
+            # Lets the writer end, which holds the descriptor until then.
+            await loops.until(lambda: sock.fileno() < 0)
             with peer:
                 successor, successor_peer = socket.socketpair()
                 self.assertEqual(successor.fileno(), number)
@@ -62,11 +65,13 @@
 
         self.assertEqual(loops.run(scenario), b'answer')
 
-    def test_close_while_a_task_sends(self):
+    def test_close_while_bytes_are_unsent(self):
         """Guards against a loop that fails at the next socket."""
 
         async def start_waiting(sock):
-            return [await wait_in(sock.sendall(LARGE))]
+            await sock.post(LARGE)
+            await curio.sleep(0.01)
+            return []
 
         self.check_close_while(start_waiting)
 
@@ -82,9 +87,49 @@
         """Guards against a close by the first of two tasks that end."""
 
         async def start_waiting(sock):
-            return [
-                await wait_in(sock.sendall(LARGE)),
-                await wait_in(sock.recv(100)),
-            ]
+            await sock.post(LARGE)
+            return [await wait_in(sock.recv(100))]
 
         self.check_close_while(start_waiting)
+
+
+class PostTest(unittest.TestCase):
+    def test_cancelled_caller_cuts_no_message(self):
+        """Guards against a message whose rest is never sent."""
+
+        async def post_twice(sock):
+            for block in (LARGE, LAST):
+                await sock.post(block)
+            await curio.sleep(60)
+
+        async def scenario():
+            sock, peer = connected_pair()
+            caller = await curio.spawn(post_twice, sock)
+            await curio.sleep(0.01)
+            await caller.cancel()
+            received = bytearray()
+            async with curio_io.Socket(peer) as reader:
+                while not received.endswith(LAST):
+                    received += await reader.recv(1_000_000)
+                await sock.close()
+                rest = await reader.recv(100)
+            return bytes(received), rest
+
+        received, rest = loops.run(scenario)
+        self.assertEqual(received.removesuffix(LAST), LARGE)
+        self.assertEqual(rest, b'')
+
+    def test_answer_before_a_failed_send_is_received(self):
+        """Guards against an early rejection that is lost with its peer."""
+
+        async def scenario():
+            sock, peer = connected_pair()
+            await sock.post(LARGE)
+            peer.send(b'rejected')
+            peer.close()
+            received = await sock.recv(100)
+            await loops.until(lambda: sock.has_unsent_bytes)
+            await sock.close()
+            return received
+
+        self.assertEqual(loops.run(scenario), b'rejected')
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -14,10 +14,14 @@
 LONG_BYTES = 6_000_000
 HEAD_END = b'\r\n\r\n'
 SEGMENT_BYTES = 1_400
+READ_BYTES = 65_536
+RECORD = hostworld.record(7)
 RECEIVE_BUFFER_BYTES = 4_096
 ANSWER_DELAY_S = 0.1
 # A caller that leaves; its request is sent and rejected by then.
 IMPATIENCE_S = 0.5
+# The time-out of the routes.
+ROUTE_TIMEOUT_S = 2.0
 LATER_REQUESTS = 8
 REJECTION = (
     b'HTTP/1.1 503 Full\r\n'
@@ -30,9 +34,9 @@
 )
 DONE = (
     b'HTTP/1.1 200 OK\r\n'
-    b'content-length: 4\r\n'
+    b'content-length: 16\r\n'
     b'x-response-seal: a0.1\r\n'
-    b'x-request-id: %s\r\n\r\ndone'
+    b'x-request-id: %s\r\n\r\n%s'
 )
 
 
@@ -41,6 +45,8 @@
 
     Attributes
     ----------
+    is_early : bool
+        Whether it does; it reads all requests otherwise.
     early_answer : bytes
         Sent to a long request; none if empty.
     rejected : threading.Event
@@ -52,6 +58,7 @@
     """
 
     def __init__(self):
+        self.is_early = True
         self.early_answer = REJECTION
         self.rejected = threading.Event()
         self.reads_on = threading.Event()
@@ -91,12 +98,13 @@
         lines = head.split(b'\r\n')[1:]
         headers = dict(line.split(b': ', 1) for line in lines)
         size = int(headers[b'content-length'])
-        if size == LONG_BYTES:
+        if self.is_early and size == LONG_BYTES:
             self._answer_early(client, headers, received)
             return False
-        while len(received) < size:
-            received += client.recv(SEGMENT_BYTES)
-        client.sendall(DONE % headers[b'x-request-id'])
+        missing_bytes = size - len(received)
+        while missing_bytes > 0:
+            missing_bytes -= len(client.recv(READ_BYTES))
+        client.sendall(DONE % (headers[b'x-request-id'], RECORD))
         return True
 
     def _answer_early(self, client, headers, received):
@@ -107,7 +115,7 @@
         self.rejected.set()
         self.reads_on.wait(rawbackend.LONGEST_ANSWER_S)
         with contextlib.suppress(OSError):
-            while block := client.recv(65_536):
+            while block := client.recv(READ_BYTES):
                 received += block
         self.long_bodies.append(received)
 
@@ -125,6 +133,62 @@
     )
 
 
+class UnsentBodyTest(unittest.TestCase):
+    def test_no_request_follows_an_unfinished_body(self):
+        """Guards against a request sent where the rest of a body is due."""
+        body = b'long;' * (LONG_BYTES // 5)
+
+        async def scenario(world):
+            # Leaves a connection, which the next request uses.
+            await pay(world, 'p1', b'pay')
+            async with curio.ignore_after(IMPATIENCE_S):
+                await pay(world, 'p2', body)
+            await loops.until(world.backend.rejected.is_set)
+            served = await pay(world, 'p3', b'pay')
+            world.backend.reads_on.set()
+            await loops.until(lambda: world.backend.long_bodies)
+            return served.status, world.backend.long_bodies
+
+        served_status, (received,) = hostworld.run_scenario(
+            scenario, EarlyBackendWorld
+        )
+        self.assertEqual(received, body[: len(received)])
+        self.assertLess(len(received), LONG_BYTES)
+        self.assertEqual(served_status, 200)
+
+    def test_early_answer_is_passed_on_at_once(self):
+        """Guards against an answer that is not read while the body is sent."""
+
+        async def scenario(world):
+            started_at = time.monotonic()
+            answer = await pay(world, 'p1', b'x' * LONG_BYTES)
+            return answer.status, time.monotonic() - started_at
+
+        status, duration_s = hostworld.run_scenario(scenario, EarlyBackendWorld)
+        self.assertEqual(status, 503)
+        self.assertLess(duration_s, ROUTE_TIMEOUT_S / 2)
+
+    def test_unread_body_holds_up_no_other_part(self):
+        """Guards against a query whose other parts wait for a blocked send."""
+
+        async def scenario(world):
+            world.backend.early_answer = b''
+            sound_backend = EarlyBackend()
+            sound_backend.is_early = False
+            await world.add_raw_backend('b0', 'b', sound_backend)
+            # Leaves connections to both, which the next query uses.
+            await world.send_request('/lookup/x', 'POST', b'short')
+            return await world.send_request(
+                '/lookup/x', 'POST', b'x' * LONG_BYTES
+            )
+
+        answer = hostworld.run_scenario(
+            scenario, EarlyBackendWorld, services=('a', 'b')
+        )
+        self.assertEqual((answer.status, answer.body), (200, RECORD))
+        self.assertEqual(answer.headers['x-missing-parts'], '1')
+
+
 class ClosedConnectionTest(unittest.TestCase):
     def test_rejection_that_closes_ends_no_other_request(self):
         """Guards against a process that ends when a socket is closed early."""
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -123,7 +123,7 @@
                 for connection in connections
             ]
             with mock.patch.object(
-                idle_connection._sock, 'sendall', side_effect=BrokenPipeError
+                idle_connection._sock, '_send_now', side_effect=BrokenPipeError
             ):
                 answers = [
                     await world.send_request('/statement/x') for _ in range(2)
