Pass on no status that promises what a backend server did not state

Cause: the last failure of a backend server was passed on whatever its status. 408, 429 and 503 promise callers that the request has not run; from a backend server only X-Not-Executed, or 421, states that.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -269,7 +269,8 @@
         elif reply.not_run:
             self._retry(subrequest, 'refused', now)
         else:
-            subrequest.error_reply = reply
+            if not reply.has_false_promise:
+                subrequest.error_reply = reply
             self._retry(subrequest, f'status_{reply.status}', now)
 
     def _end_attempt(
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -7,6 +7,7 @@
 
 import enum
 import heapq
+import http
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
@@ -21,6 +22,15 @@
 # Part of the caller's deadline that is reserved for the same purpose.
 DEADLINE_RESERVE_S = 0.02
 MAX_RESERVE_SHARE = 0.25
+# Statuses that promise a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 
 class Load(NamedTuple):
@@ -72,6 +82,14 @@
         """Whether the backend server served the request."""
         return 200 <= self.status < 300  # noqa: WPS432  # the 2xx statuses
 
+    @property
+    def has_false_promise(self) -> bool:
+        """Whether the status would promise more than the answer states.
+
+        A backend server says that it did not run a request in `not_run` alone.
+        """
+        return not self.not_run and self.status in NOT_RUN_STATUSES
+
     @property
     def outcome(self) -> limits.CallOutcome:
         """The outcome of the attempt according to this answer."""
@@ -137,7 +155,7 @@
         # All attempts in order of their start.
         self.attempts: list[Attempt] = []
         self.reply: Reply | None = None
-        # The last answer that could not be used, other than refusals.
+        # The last failure that may be passed on to the caller.
         self.error_reply: Reply | None = None
         self.failure_reason: str | None = None
         self.may_have_run = False
--- a/standins/users.py
+++ b/standins/users.py
@@ -9,6 +9,7 @@
 
 import base64
 import collections
+import http
 import json
 import urllib.parse
 from typing import Any, NamedTuple
@@ -232,6 +233,8 @@
         # Sent with each answer.
         self.headers: list[tuple[bytes, bytes]] = []
         self.answers_for: str | None = None
+        # Status of the answers to requests that ran.
+        self.status = http.HTTPStatus.OK
         self.ran: list[webhandler.Request] = []
 
     async def handle(self, request: webhandler.Request) -> webhandler.Response:
@@ -252,7 +255,7 @@
             await curio.sleep(self.pause_s)
         request_id = headers[wire.REQUEST_ID.decode()]
         return webhandler.Response(
-            200,
+            self.status,
             None,
             [
                 (wire.REQUEST_ID, self.answers_for or request_id),
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -9,6 +9,9 @@
 from cardamomflow import discovery
 from tests import hostworld, loops
 
+# Target and method for one route that may not be repeated, and one that may.
+ROUTES = (('/payment/x', 'POST'), ('/statement/x', 'GET'))
+
 
 class AnswerTest(unittest.TestCase):
     def test_parts_are_merged_and_named(self):
@@ -90,6 +93,40 @@
         self.assertEqual(hostworld.error_code(answer), 'no_replica')
         self.assertGreater(float(answer.headers['retry-after']), 0)
 
+    def check_failure_after_a_run(self, target, method, status):
+        """Return the answer to a request that a backend server ran."""
+
+        async def scenario(world):
+            for backend in world.backends_by_id.values():
+                backend.status = status
+            answer = await world.send_request(target, method)
+            ran_count = sum(
+                len(backend.ran) for backend in world.backends_by_id.values()
+            )
+            return answer, ran_count
+
+        answer, ran_count = hostworld.run_scenario(scenario)
+        self.assertGreater(ran_count, 0)
+        return answer
+
+    def test_status_that_promises_no_run_is_not_passed_on_after_one(self):
+        """Guards against a payment that runs again after a false refusal."""
+        for status in (408, 429, 503):
+            for target, method in ROUTES:
+                with self.subTest(status=status, target=target):
+                    answer = self.check_failure_after_a_run(
+                        target, method, status
+                    )
+                    self.assertEqual(answer.status, 502)
+                    code = hostworld.error_code(answer)
+                    self.assertEqual(code, 'backend_failed')
+
+    def test_other_failures_are_passed_on(self):
+        """Guards against a failure that hides what the backend answered."""
+        answer = self.check_failure_after_a_run('/payment/x', 'POST', 500)
+        self.assertEqual(answer.status, 500)
+        self.assertIn('x-response-seal', answer.headers)
+
     def test_payment_without_an_answer_has_an_unknown_outcome(self):
         """Guards against the outcome not run for a payment that ran."""
 
