Close connections of the web client after the exchange that uses them

Cause: WebConnection waited for its socket in the task of the exchange while close, in any task, closed it: BackendPool.retire does so with the control connection of a backend server whose status is read. The event loop of the process then fails at the next socket. An exchange also sent its whole request before it read, and saw an early rejection at its timeout only.

Change: the web client uses DuplexSocket.

--- a/cardamomflow/webclient.py
+++ b/cardamomflow/webclient.py
@@ -13,7 +13,7 @@
 import h11
 from curio import io as curio_io
 
-from cardamomflow import errors, jsonbody, links
+from cardamomflow import duplex, errors, jsonbody, links
 
 MAX_BODY_BYTES = 16_777_216
 # Interim (1xx) responses before the final one; a faulty server may send them
@@ -44,7 +44,7 @@
 
     def __init__(self, sock: curio_io.Socket, authority: str) -> None:
         """Create the connection of a connected socket, which it closes."""
-        self._sock = sock
+        self._sock = duplex.DuplexSocket(sock)
         self._authority = authority
         self._protocol = h11.Connection(h11.CLIENT)
         self._failed = False
@@ -88,7 +88,7 @@
         self._exchanging = True
         self._failed = True
         try:
-            await self._sock.sendall(self._serialize(method, target, document))
+            await self._sock.post(self._serialize(method, target, document))
             reply = await self._read_reply()
         except OSError as error:
             raise errors.PeerLost(
@@ -98,11 +98,15 @@
             raise self._classify(error) from error
         finally:
             self._exchanging = False
-        self._failed = not prepare_for_reuse(self._protocol)
+        # A server that answers early takes what is sent next for the rest of
+        # the request.
+        self._failed = self._sock.has_unsent_bytes or not prepare_for_reuse(
+            self._protocol
+        )
         return reply
 
     async def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; an exchange in progress fails."""
         self._failed = True
         await self._sock.close()
 
--- a/tests/test_webclient.py
+++ b/tests/test_webclient.py
@@ -10,6 +10,9 @@
 from cardamomflow import errors, links, webclient, webserver
 from tests import loops
 
+# More than the buffers of a connection take up.
+UNREAD_DOCUMENT = {'value': 'x' * 10_000_000}
+EARLY_RESPONSE_LIMIT_S = 5.0
 _OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
 
 
@@ -113,7 +116,7 @@
         async def scenario(connection):
             await connection.exchange('GET', '/')
             self.assertTrue(connection.reusable)
-            await connection._sock.sendall(b'x')
+            await connection._sock.post(b'x')
             await loops.until(lambda: not connection.reusable)
 
         self.exchange([_OK, _OK], scenario, close_at_end=False)
@@ -162,6 +165,45 @@
 
         self.exchange([b''], scenario, close_at_end=False)
 
+    def test_close_during_an_exchange_fails_only_it(self):
+        """Guards against an event loop that fails at the next connection."""
+
+        async def exchange(connection):
+            with self.assertRaises(errors.PeerLost):
+                await connection.exchange('GET', '/')
+
+        async def scenario(connection):
+            exchange_task = await curio.spawn(exchange, connection)
+            await curio.sleep(0.02)
+            await connection.close()
+            # Its descriptor may have the number of the closed one.
+            await self.check_new_connection()
+            await exchange_task.join()
+
+        self.exchange([b''], scenario, close_at_end=False)
+
+    async def check_new_connection(self):
+        """Check that one more connection waits for its input."""
+        async with webserver.listen('127.0.0.1', 0) as listener:
+            server = await curio.spawn(_serve_blocks, listener, [_OK])
+            port = listener.getsockname()[1]
+            reply = await webclient.fetch('127.0.0.1', port, 'GET', '/')
+            await server.join()
+        self.assertEqual(reply.json(), {})
+
+    def test_response_before_the_request_is_sent(self):
+        """Guards against a rejection that is not read until the timeout."""
+        block = b'HTTP/1.1 413 \r\ncontent-length: 2\r\n\r\n{}'
+
+        async def scenario(connection):
+            async with curio.timeout_after(EARLY_RESPONSE_LIMIT_S):
+                reply = await connection.exchange('PUT', '/', UNREAD_DOCUMENT)
+            self.assertFalse(connection.reusable)
+            return reply
+
+        reply = self.exchange([block], scenario, close_at_end=False)
+        self.assertEqual(reply.status, 413)
+
     def test_informational_responses_are_skipped(self):
         """Guards against taking 100 Continue as the final response."""
 
