Send no response after an interim one that may be cut

Found among the sends that are cancelled half way; nobody saw it.

Cause: 100 Continue is sent within the time limit of the body. If the limit passes during the send, a 408 followed on the same connection.

Change: such a connection is closed without another response.

Result: test_no_response_follows_a_cut_one reads "HTTP/1.1 1HTTP/1.1 4" before and "HTTP/1.1 1" now.

--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -96,6 +96,8 @@
         self._server = server
         self._input_ended = False
         self._is_first = True
+        # Whether an interim response may have been sent in part.
+        self._is_output_cut = False
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.bounds.head_bytes
         )
@@ -168,6 +170,8 @@
             request = await self._read_request()
         except errors.FlowError as error:
             self._handler.record_failure(error)
+            if self._is_output_cut:
+                return False
             await self._send(webhandler.error_response(error), last=True)
             await self._discard_input()
             return False
@@ -265,16 +269,18 @@
             if event is not h11.NEED_DATA:
                 return event
             if self._protocol.they_are_waiting_for_100_continue:
-                await self._sock.sendall(
-                    self._protocol.send(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
-                )
+                await self._send_continue()
             if self._input_ended or not await self._receive():
                 raise errors.BadRequest(
                     'the connection ended before the request was complete'
                 )
 
+    async def _send_continue(self) -> None:
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        self._is_output_cut = True
+        await self._sock.sendall(self._protocol.send(interim))
+        self._is_output_cut = False
+
     def _parse(self) -> Any:
         try:
             return self._protocol.next_event()
