End the longest body of the largest sender where bodies fill the memory

Cause: one limit for the incomplete bodies of all connections, and the connection that received the next block beyond it was closed. In aggregators each body had a limit of 16 MB, and all together none.

Change: BodyBudget counts incomplete bodies by sender and connection; beyond the limit the sender with the most bytes loses its longest one. Hosts and aggregators use one a process. Failures have at most 262,144 bytes.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -49,6 +49,7 @@
             self,
             process_context.clock,
             self.dispatcher.occupancy.keeps_idle_connections,
+            process_context.body_budget,
         )
         self.peer_client = peering.PeerClient(process_context, self)
         self._clock = process_context.clock
--- a/cardamomflow/backends.py
+++ b/cardamomflow/backends.py
@@ -4,11 +4,12 @@
 end cleanly, so that a late answer can't reach another call.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import curio
 
-from cardamomflow import errors, register, webclient
+from cardamomflow import bodybudget, errors, register, webclient
 
 IDLE_LIMIT_S = 20.0
 _HTTP_OK = 200
@@ -21,13 +22,18 @@
     """Data connections and the control connection of a backend server."""
 
     def __init__(
-        self, backend: register.Backend, allowance: int, clock
+        self,
+        backend: register.Backend,
+        allowance: int,
+        clock: Callable[[], float],
+        body_budget: bodybudget.BodyBudget[Any],
     ) -> None:
         """Start without connections.
 
         `allowance` is the number of connections that this process may open to
         the backend server. One of them is reserved for status and cancellation.
         """
+        self._body_budget = body_budget
         self.backend = backend
         self.data_allowance = max(1, allowance - 1)
         self._clock = clock
@@ -159,7 +165,10 @@
         self._open += 1
         try:
             return await webclient.connect(
-                self.backend.address, self.backend.port, timeout_s
+                self.backend.address,
+                self.backend.port,
+                timeout_s,
+                self._body_budget,
             )
         except BaseException:
             self._open -= 1
@@ -200,7 +209,10 @@
             await self._close_control()
         if self._control is None:
             self._control = await webclient.connect(
-                self.backend.address, self.backend.port, CONTROL_TIMEOUT_S
+                self.backend.address,
+                self.backend.port,
+                CONTROL_TIMEOUT_S,
+                self._body_budget,
             )
         return await self._control.exchange(method, target, document)
 
--- a/cardamomflow/context.py
+++ b/cardamomflow/context.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from cardamomflow import journal, logoutput, telemetry, tracing
+from cardamomflow import bodybudget, journal, logoutput, telemetry, tracing
 
 
 class Context(NamedTuple):
@@ -25,6 +25,8 @@
     random : random.Random
     clock : callable
         Returns monotonic seconds.
+    body_budget : bodybudget.BodyBudget
+        Limits the incomplete answers of backend servers.
     """
 
     settings: Any
@@ -34,6 +36,7 @@
     tracer: tracing.Tracer
     random: random.Random
     clock: Callable[[], float]
+    body_budget: bodybudget.BodyBudget[Any]
 
 
 def create(settings: Any) -> Context:
@@ -59,4 +62,5 @@
         ),
         random=generator,
         clock=time.monotonic,
+        body_budget=bodybudget.BodyBudget(),
     )
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -17,6 +17,7 @@
 from curio import io as curio_io
 
 from cardamomflow import (
+    bodybudget,
     directory,
     duplex,
     errors,
@@ -40,9 +41,8 @@
 OVERDUE_GRACE_S = 0.2
 SWEEP_INTERVAL_S = 0.1
 MAX_BODY_BYTES = 16_777_216
-# Limit for the incomplete bodies of all connections. A host may use 200 MB of
-# memory and uses about 60 MB without load.
-MAX_BUFFERED_BYTES = 33_554_432
+# Limit for the body of a failure, which is only passed on.
+MAX_FAILURE_BODY_BYTES = 262_144
 _RECEIVE_BYTES = 65_536
 _MS = 1000
 _LINE_END = b'\r\n'
@@ -117,11 +117,8 @@
     may_keep : callable
         Takes a service and returns whether to keep an idle connection to its
         backend servers.
-
-    Attributes
-    ----------
-    buffered_bytes : int
-        Total size of the incomplete bodies.
+    body_budget : bodybudget.BodyBudget
+        Limits the incomplete bodies of all connections.
     """
 
     def __init__(
@@ -130,8 +127,9 @@
         listener: AttemptListener,
         clock: Callable[[], float],
         may_keep: Callable[[str], bool],
+        body_budget: bodybudget.BodyBudget[Any],
     ) -> None:
-        self.buffered_bytes = 0
+        self.body_budget = body_budget
         self._may_keep = may_keep
         self._backends_by_id = backends_by_id
         self._listener = listener
@@ -387,7 +385,7 @@
             case h11.Response():
                 return self._handle_response(event)
             case h11.Data():
-                return self._append_body(event.data)
+                return await self._append_body(event.data)
             case h11.EndOfMessage():
                 return await self._finish_response()
             case _:
@@ -422,18 +420,28 @@
             self._headers_by_name.get(wire.STAMP, b'')
         )
 
-    def _append_body(self, body: bytes) -> bool:
+    async def _append_body(self, block: bytes) -> bool:
         """Append a block of the body; return whether it is within limits."""
-        self._body += body
-        self._transport.buffered_bytes += len(body)
-        return (
-            len(self._body) <= MAX_BODY_BYTES
-            and self._transport.buffered_bytes <= MAX_BUFFERED_BYTES
+        if self._closed:
+            return False
+        self._body += block
+        limit_bytes = (
+            MAX_BODY_BYTES
+            if _is_success(self._status)
+            else MAX_FAILURE_BODY_BYTES
+        )
+        if len(self._body) > limit_bytes:
+            return False
+        evicted = self._transport.body_budget.add(
+            self.backend_id, self, len(block)
         )
+        for connection in evicted:
+            await connection.close(limits.CallOutcome.FAILED)
+        return not self._closed
 
     def _pop_body(self) -> bytes:
         body, self._body = bytes(self._body), bytearray()
-        self._transport.buffered_bytes -= len(body)
+        self._transport.body_budget.release(self.backend_id, self)
         return body
 
     async def _finish_response(self) -> bool:
@@ -490,7 +498,7 @@
     async def _clean_up(self) -> None:
         self._closed = True
         self.usable_until = float('-inf')
-        self._transport.buffered_bytes -= len(self._body)
+        self._transport.body_budget.release(self.backend_id, self)
         self._body.clear()
         await self._transport.remove_connection(self, self._outcome)
         await self._sock.close()
--- a/cardamomflow/replicaset.py
+++ b/cardamomflow/replicaset.py
@@ -57,6 +57,7 @@
         self._drains = draining.DrainTracker()
         self._clock = process_context.clock
         self._metrics = process_context.metrics
+        self._body_budget = process_context.body_budget
         self.apply(new_register)
 
     def apply(
@@ -249,6 +250,7 @@
             backend,
             new_register.connection_allowance(backend.backend_id),
             self._clock,
+            self._body_budget,
         )
         self.pools_by_backend[backend.backend_id] = pool
         self.limits_by_backend[backend.backend_id] = limits.ConcurrencyLimit(
--- a/cardamomflow/webclient.py
+++ b/cardamomflow/webclient.py
@@ -13,7 +13,7 @@
 import h11
 from curio import io as curio_io
 
-from cardamomflow import duplex, errors, jsonbody, links
+from cardamomflow import bodybudget, duplex, errors, jsonbody, links
 
 MAX_BODY_BYTES = 16_777_216
 # Interim (1xx) responses before the final one; a faulty server may send them
@@ -42,10 +42,24 @@
 class WebConnection:
     """One connection to an HTTP server."""
 
-    def __init__(self, sock: curio_io.Socket, authority: str) -> None:
-        """Create the connection of a connected socket, which it closes."""
+    def __init__(
+        self,
+        sock: curio_io.Socket,
+        authority: str,
+        body_budget: bodybudget.BodyBudget[Any] | None = None,
+    ) -> None:
+        """Create the connection of a connected socket, which it closes.
+
+        Parameters
+        ----------
+        sock : curio.io.Socket
+        authority : str
+        body_budget : bodybudget.BodyBudget, optional
+            Limits the incomplete bodies of connections that share it.
+        """
         self._sock = duplex.DuplexSocket(sock)
         self._authority = authority
+        self._body_budget = body_budget or bodybudget.BodyBudget()
         self._protocol = h11.Connection(h11.CLIENT)
         self._failed = False
         self._exchanging = False
@@ -98,6 +112,7 @@
             raise self._classify(error) from error
         finally:
             self._exchanging = False
+            self._body_budget.release(self._authority, self)
         # A server that answers early takes what is sent next for the rest of
         # the request.
         self._failed = self._sock.has_unsent_bytes or not prepare_for_reuse(
@@ -144,6 +159,7 @@
         while isinstance(event, h11.Data):
             body += event.data
             self._check_size(body)
+            await self._count_body(len(event.data))
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise errors.PeerLost(f'{self._authority} closed the connection')
@@ -175,6 +191,11 @@
                 f'{self._authority} sent a body of over {MAX_BODY_BYTES} bytes'
             )
 
+    async def _count_body(self, size: int) -> None:
+        evicted = self._body_budget.add(self._authority, self, size)
+        for connection in evicted:
+            await connection.close()
+
     async def _receive(self) -> None:
         received = await self._sock.recv(_RECEIVE_BYTES)
         self._input_ended = not received
@@ -197,7 +218,10 @@
 
 
 async def connect(
-    address: str, port: int, timeout_s: float = links.CONNECT_TIMEOUT_S
+    address: str,
+    port: int,
+    timeout_s: float = links.CONNECT_TIMEOUT_S,
+    body_budget: bodybudget.BodyBudget[Any] | None = None,
 ) -> WebConnection:
     """Open a connection.
 
@@ -207,7 +231,7 @@
         No connection was opened within the timeout; nothing was sent.
     """
     sock = await links.open_socket(address, port, timeout_s)
-    return WebConnection(sock, f'{address}:{port}')
+    return WebConnection(sock, f'{address}:{port}', body_budget)
 
 
 async def fetch(
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -145,6 +145,9 @@
                     users.route_document(
                         'statement', '/statement/', service='a'
                     ),
+                    users.route_document(
+                        'report', '/report/', service=services[-1]
+                    ),
                     users.route_document(
                         'payment',
                         '/payment/',
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -32,6 +32,9 @@
 BLOCK = b'x' * 65_536
 # `int` accepts at most 4,300 digits.
 LONG_NUMBER = b'9' * 5000
+LARGE_ANSWER_BYTES = 300_000
+SOUND_CALLERS = 8
+SOUND_REQUESTS = 10
 MAX_GROWTH_KB = 80_000
 
 
@@ -209,6 +212,70 @@
         self.check_endless_answer(UNTIL_CLOSE, BLOCK, callers=20)
 
 
+class BesideEndlessTest(unittest.TestCase):
+    """Answers of one backend server beside endless ones of another one."""
+
+    def check_sound_answers(self, endless_head, callers):
+        """Check that all callers of a sound backend server are served."""
+        body = b'x' * LARGE_ANSWER_BYTES
+
+        async def ask_for_endless(world):
+            while True:
+                await world.send_request('/report/x', deadline_ms=1500)
+
+        async def ask_for_sound(world):
+            return [
+                await world.send_request('/statement/x')
+                for _ in range(SOUND_REQUESTS)
+            ]
+
+        async def scenario(world):
+            length = b'content-length: %d' % LARGE_ANSWER_BYTES
+            world.backend.answer = (
+                HEAD.replace(b'content-length: 16', length) + body
+            )
+            endless = FixedBackend()
+            endless.answer = endless_head
+            endless.repeated = BLOCK
+            await world.add_raw_backend('b0', 'b', endless)
+            before_kb = resident_kb()
+            faulty_tasks = [
+                await curio.spawn(ask_for_endless, world)
+                for _ in range(callers)
+            ]
+            # The endless bodies pass the limit by then.
+            await curio.sleep(0.5)
+            sound_tasks = [
+                await curio.spawn(ask_for_sound, world)
+                for _ in range(SOUND_CALLERS)
+            ]
+            answers = [
+                answer for task in sound_tasks for answer in await task.join()
+            ]
+            growth_kb = resident_kb() - before_kb
+            for task in faulty_tasks:
+                await task.cancel()
+            return answers, growth_kb
+
+        answers, growth_kb = hostworld.run_scenario(
+            scenario, FixedBackendWorld, services=('a', 'b')
+        )
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(set(statuses), {200})
+        self.assertTrue(all(answer.body == body for answer in answers))
+        self.assertLess(growth_kb, MAX_GROWTH_KB)
+
+    def test_sound_answers_beside_endless_ones(self):
+        """Guards against sound answers that endless ones end."""
+        self.check_sound_answers(UNTIL_CLOSE, callers=24)
+
+    def test_sound_answers_beside_endless_failures(self):
+        """Guards against failures with an endless body that fill the memory."""
+        self.check_sound_answers(
+            UNTIL_CLOSE.replace(b'200 OK', b'500 Failed'), callers=24
+        )
+
+
 class MalformedHeaderTest(unittest.TestCase):
     def test_malformed_headers_do_not_fail_the_request(self):
         """Guards against a task that fails on an invalid number in a header."""
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -12,6 +12,7 @@
 
 from cardamomflow import (
     batching,
+    bodybudget,
     callrunner,
     errors,
     hedging,
@@ -53,6 +54,7 @@
         clock=time.monotonic,
         random=generator,
         metrics=telemetry.Metrics(),
+        body_budget=bodybudget.BodyBudget(),
     )
     parsed_rules = rules.Rules.from_document(fleet.RULES)
     service_context = services.ServiceContext(
--- a/tests/test_webclient.py
+++ b/tests/test_webclient.py
@@ -3,16 +3,18 @@
 # Bytes on the wire are joined from parts, and peers nest in their servers.
 # flake8: noqa: WPS336, WPS220, WPS435, WPS501
 
+import contextlib
 import unittest
 
 import curio
 
-from cardamomflow import errors, links, webclient, webserver
-from tests import loops
+from cardamomflow import bodybudget, errors, links, webclient, webserver
+from tests import loops, rawbackend
 
 # More than the buffers of a connection take up.
 UNREAD_DOCUMENT = {'value': 'x' * 10_000_000}
 EARLY_RESPONSE_LIMIT_S = 5.0
+LONG_BODY_BYTES = 400_000
 _OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
 
 
@@ -27,6 +29,16 @@
             await curio.sleep(1000)
 
 
+class _StallingServer(rawbackend.RawBackend):
+    """Sends a long body without its end."""
+
+    def _serve(self, client):
+        client.sendall(b'HTTP/1.1 200 OK\r\n\r\n' + bytes(LONG_BODY_BYTES))
+        # Until the client closes.
+        while client.recv(65_536):
+            continue
+
+
 class WebClientTest(unittest.TestCase):
     """Exchanges with a scripted server."""
 
@@ -101,6 +113,36 @@
             [head + bytes(size)], errors.ProtocolViolation, close_at_end=False
         )
 
+    def test_endless_bodies_of_all_connections_are_bounded(self):
+        """Guards against many long bodies that together use all memory."""
+        limit_bytes = LONG_BODY_BYTES * 2
+        budget = bodybudget.BodyBudget(limit_bytes)
+
+        async def fail(port):
+            connection = await webclient.connect(
+                '127.0.0.1', port, body_budget=budget
+            )
+            try:
+                with contextlib.suppress(errors.PeerLost):
+                    await connection.exchange('GET', '/')
+            finally:
+                await connection.close()
+
+        async def scenario():
+            server = _StallingServer()
+            tasks = [await curio.spawn(fail, server.port) for _ in range(4)]
+            await loops.until(
+                lambda: sum(task.terminated for task in tasks) == 2
+            )
+            held_bytes = budget.held_bytes
+            for task in tasks:
+                await task.cancel()
+            server.close()
+            return held_bytes
+
+        self.assertLessEqual(loops.run(scenario), limit_bytes)
+        self.assertEqual(budget.held_bytes, 0)
+
     def test_duplicate_response_ends_reuse(self):
         """Guards against taking the second copy as the next response."""
 
