Finish the requests of a stop that can't accept its backlog

Found among the sockets that two tasks use; nobody saw it.

Cause: drain accepts the connections in the backlog beside serve, and any error of accept, such as no free descriptor, ended the stop and cut the requests in progress.

Change: drain stops to accept then, and counts a refused connection.

Result: test_drain_without_free_descriptors_finishes_requests fails with EMFILE before the change and passes now.

--- a/cardamomflow/webserver.py
+++ b/cardamomflow/webserver.py
@@ -120,7 +120,7 @@
         return list(self._connections)
 
     def record_refused_connection(self) -> None:
-        """Record a connection over the limit, which is closed at once."""
+        """Record a connection that can't be served."""
 
     def discard(self, connection: serverconnection.Connection) -> None:
         """Remove a connection that has ended."""
@@ -170,13 +170,21 @@
         if self._closed:
             return
         self._closed = True
+        try:
+            await self._accept_backlog()
+        except (OSError, curio.ReadResourceBusy):
+            # No free descriptors, or a connection ended before its turn and
+            # `serve` already waits for the next one.
+            self.record_refused_connection()
+        # Wakes the task that waits in `accept`.
+        await self._listener.shutdown(socket.SHUT_RDWR)
+
+    async def _accept_backlog(self) -> None:
         poller = select.poll()
         poller.register(self._listener.fileno(), select.POLLIN)
         while poller.poll(0):
             client, _ = await self._listener.accept()
             await self._add_connection(client)
-        # Wakes the task that waits in `accept`.
-        await self._listener.shutdown(socket.SHUT_RDWR)
 
 
 def listen(address: str, port: int) -> curio_io.Socket:
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -4,6 +4,7 @@
 # flake8: noqa: WPS336, WPS220, WPS435, WPS358
 
 import contextlib
+import errno
 import socket
 import unittest
 from unittest import mock
@@ -92,6 +93,26 @@
         answer = self.answer_to(b'CONNECT a:1 HTTP/1.1\r\nhost: x\r\n\r\n')
         self.assert_refused(answer, 405, 'method_not_allowed')
 
+    def test_drain_without_free_descriptors_finishes_requests(self):
+        """Guards against a stop that fails at a connection in the backlog."""
+        no_descriptor = OSError(errno.EMFILE, 'no free descriptor')
+
+        async def scenario():
+            async with loops.serving(self.server) as port:
+                async with loops.Caller(port) as caller:
+                    await caller.send(_GET.replace(b'/echo', b'/slow'))
+                    await loops.until(lambda: self.handler.handled)
+                    with mock.patch.object(
+                        socket.socket, 'accept', side_effect=no_descriptor
+                    ):
+                        async with loops.Caller(port):
+                            drained = await self.server.drain(1.0)
+                    return drained, await caller.read_all()
+
+        drained, answer = loops.run(scenario)
+        self.assertTrue(drained)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+
     def test_no_response_follows_a_cut_one(self):
         """Guards against a refusal in the middle of `100 Continue`."""
 
