Reuse no connection of the web client that was closed beside its response

Cause: a connection that another task closed while its last response was read counted as usable again, and its next check or request met a closed socket.

Change: a closed connection stays unusable.

--- a/cardamomflow/webclient.py
+++ b/cardamomflow/webclient.py
@@ -63,6 +63,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._failed = False
         self._exchanging = False
+        self._closed = False
         self._input_ended = False
 
     @property
@@ -115,13 +116,13 @@
             self._body_budget.release(self._authority, self)
         # A server that answers early takes what is sent next for the rest of
         # the request.
-        self._failed = self._sock.has_unsent_bytes or not prepare_for_reuse(
-            self._protocol
-        )
+        is_usable = not self._closed and not self._sock.has_unsent_bytes
+        self._failed = not (is_usable and prepare_for_reuse(self._protocol))
         return reply
 
     async def close(self) -> None:
         """Close the connection; an exchange in progress fails."""
+        self._closed = True
         self._failed = True
         await self._sock.close()
 
--- a/tests/test_webclient.py
+++ b/tests/test_webclient.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 import curio
 
@@ -224,6 +225,23 @@
 
         self.exchange([b''], scenario, close_at_end=False)
 
+    def test_close_beside_the_response_ends_reuse(self):
+        """Guards against a request on a socket that is already closed."""
+
+        async def scenario(connection):
+            async def close_and_receive(limit):
+                await connection.close()
+                return _OK
+
+            with mock.patch.object(
+                connection._sock, 'recv', side_effect=close_and_receive
+            ):
+                reply = await connection.exchange('GET', '/')
+            self.assertEqual(reply.json(), {})
+            self.assertFalse(connection.reusable)
+
+        self.exchange([b''], scenario, close_at_end=False)
+
     async def check_new_connection(self):
         """Check that one more connection waits for its input."""
         async with webserver.listen('127.0.0.1', 0) as listener:
