Decode in the adapter which failures may be passed on

The statuses that promise callers something are words of the platform, so wire lists them and Reply carries the decision.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -269,7 +269,7 @@
         elif reply.not_run:
             self._retry(subrequest, 'refused', now)
         else:
-            if not reply.has_false_promise:
+            if reply.may_be_passed_on:
                 subrequest.error_reply = reply
             self._retry(subrequest, f'status_{reply.status}', now)
 
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -468,6 +468,7 @@
         misdirected = self._status == http.HTTPStatus.MISDIRECTED_REQUEST
         notices = replyheaders.parse_notices(self._headers, headers_by_name)
         is_busy = self._status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        not_run = misdirected or wire.NOT_RUN in headers_by_name
         return requeststate.Reply(
             status=self._status,
             headers=self._headers_to_forward(
@@ -475,12 +476,14 @@
             ),
             body=body,
             stamp=None if stamp is None else stamp.decode('latin-1'),
-            not_run=misdirected or wire.NOT_RUN in headers_by_name,
+            not_run=not_run,
             misdirected=misdirected,
             load=replyheaders.parse_load(headers_by_name.get(wire.LOAD, b'')),
             leaving=self._leaving_notice if notices.is_leaving else None,
             pause_s=notices.pause_s if is_busy else 0,
             invalid_headers=notices.invalid,
+            may_be_passed_on=not_run
+            or self._status not in wire.NOT_RUN_STATUSES,
         )
 
     def _headers_to_forward(
--- a/cardamomflow/platform/wire.py
+++ b/cardamomflow/platform/wire.py
@@ -3,6 +3,8 @@
 Comments explain names whose meaning is not obvious.
 """
 
+import http
+
 REQUEST_ID = b'x-request-id'
 DEADLINE = b'x-request-deadline'  # remaining time in milliseconds
 BACKEND_ID = b'x-target-instance'
@@ -14,6 +16,16 @@
 PART_STAMPS = 'x-part-stamps'  # signatures, separated by commas
 MISSING_PARTS = 'x-missing-parts'  # number of parts
 
+# Statuses that tell a caller that its request was not run and never will be.
+NOT_RUN_STATUSES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
 READY_PATH = '/api/ready'
 
 CONFIGURATION_KEY = 'op/config'
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -7,7 +7,6 @@
 
 import enum
 import heapq
-import http
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
@@ -22,15 +21,6 @@
 # Part of the caller's deadline that is reserved for the same purpose.
 DEADLINE_RESERVE_S = 0.02
 MAX_RESERVE_SHARE = 0.25
-# Statuses that promise a caller that its request has not run and never will.
-NOT_RUN_STATUSES = frozenset(
-    (
-        http.HTTPStatus.REQUEST_TIMEOUT,
-        http.HTTPStatus.MISDIRECTED_REQUEST,
-        http.HTTPStatus.TOO_MANY_REQUESTS,
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-    )
-)
 
 
 class Load(NamedTuple):
@@ -64,6 +54,9 @@
         wants no further ones.
     invalid_headers : tuple of str
         Names of the headers that were ignored since their values are invalid.
+    may_be_passed_on : bool
+        False if the status would tell the caller that the request was not run,
+        which the backend server did not state.
     """
 
     status: int
@@ -76,20 +69,13 @@
     leaving: directory.LeavingNotice | None = None
     pause_s: float = 0
     invalid_headers: tuple[str, ...] = ()
+    may_be_passed_on: bool = True
 
     @property
     def succeeded(self) -> bool:
         """Whether the backend server served the request."""
         return 200 <= self.status < 300  # noqa: WPS432  # the 2xx statuses
 
-    @property
-    def has_false_promise(self) -> bool:
-        """Whether the status would promise more than the answer states.
-
-        A backend server says that it did not run a request in `not_run` alone.
-        """
-        return not self.not_run and self.status in NOT_RUN_STATUSES
-
     @property
     def outcome(self) -> limits.CallOutcome:
         """The outcome of the attempt according to this answer."""
