Drop datagrams of an agent beside one that waits for a full buffer

Found among the sockets that two tasks use; nobody saw it.

Cause: several tasks of an agent send on one datagram socket. While one waits for room, curio refuses the next with WriteResourceBusy, which is no OSError and ended the agent.

Change: the datagram is dropped and counted like one that the system refuses.

Result: tests.test_peers.DatagramTest fails with WriteResourceBusy before the change and passes now.

--- a/cardamomflow/peers.py
+++ b/cardamomflow/peers.py
@@ -92,7 +92,8 @@
         payload = action.message.SerializeToString()
         try:
             await self.udp.sendto(payload, tuple(action.address))
-        except OSError:
+        except (OSError, curio.WriteResourceBusy):
+            # The buffer may be full while another task waits for room.
             self._context.metrics.increment('agent.datagrams_unsent')
 
     async def offer(self, revision: int, source: membership.Address) -> None:
