--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -103,7 +103,10 @@
             return False
         missing_bytes = size - len(received)
         while missing_bytes > 0:
-            missing_bytes -= len(client.recv(READ_BYTES))
+            block = client.recv(READ_BYTES)
+            if not block:
+                return False
+            missing_bytes -= len(block)
         client.sendall(DONE % (headers[b'x-request-id'], RECORD))
         return True
 
