Send the request of the cut response test as the other tests do

The test had a caller of its own because its patch cut every send. The patch now cuts the interim response alone, so answer_to serves. The stand-in of early answers says what its flag is.

--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -41,12 +41,12 @@
 
 
 class EarlyBackend(rawbackend.RawBackend):
-    """Answers long requests before their body is in.
+    """Answers long requests early, and reads on when it is told to.
 
     Attributes
     ----------
     is_early : bool
-        Whether it does; it reads all requests otherwise.
+        Whether long requests are answered before their body is in.
     early_answer : bytes
         Sent to a long request; none if empty.
     rejected : threading.Event
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -117,34 +117,20 @@
         """Guards against a refusal in the middle of `100 Continue`."""
 
         async def send_half(sock, payload):
+            if not payload.startswith(b'HTTP/1.1 100'):
+                return await _SENDALL(sock, payload)
             await _SENDALL(sock, payload[:10])
             await curio.sleep(60)
 
         self.server.bounds = serverconnection.Bounds(body_timeout_s=0.2)
         with mock.patch.object(curio_io.Socket, 'sendall', send_half):
-            # The caller uses a plain socket, which the patch leaves alone.
-            answer = self.answer_to_plain(
+            answer = self.answer_to(
                 b'POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n'
                 b'expect: 100-continue\r\n\r\n'
             )
         self.assertEqual(answer, b'HTTP/1.1 1')
         self.assertEqual(self.handler.failures, ['request_timeout'])
 
-    def answer_to_plain(self, request):
-        """Send a request from a plain socket; return all bytes received."""
-
-        async def scenario():
-            async with loops.serving(self.server) as port:
-                with socket.create_connection(('127.0.0.1', port)) as raw:
-                    raw.sendall(request)
-                    async with curio_io.Socket(raw) as caller:
-                        received = b''
-                        while block := await caller.recv(65_536):
-                            received += block
-                        return received
-
-        return loops.run(scenario)
-
     def test_oversized_head_in_pieces(self):
         """Guards against unbounded memory for a head that never ends."""
         answer = self.answer_to(b'GET / HTTP/1.1\r\nx: ' + b'a' * 20_000)
