Refuse final responses that are not ones of HTTP/1.x

Cause: h11 refuses 000 and 099 by itself, but accepts statuses up to 999, any version, and a 204 that announces a body. The host passed these on to callers, and merged an empty part of such a 204.

Change: one check of each final response from backend servers and the store; a response that fails it is a failed attempt.

--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -398,6 +398,8 @@
         server. One without a signature does not come from a backend server,
         and several signatures would name parts that the body lacks.
         """
+        if not webclient.is_valid_response(response):
+            return False
         self._status = response.status_code
         self._headers = [
             (name.lower(), content)
--- a/cardamomflow/webclient.py
+++ b/cardamomflow/webclient.py
@@ -5,6 +5,7 @@
 could be read as the answer to the next request.
 """
 
+import http
 import json
 import select
 from typing import Any, NamedTuple
@@ -19,6 +20,9 @@
 # Interim (1xx) responses before the final one; a faulty server may send them
 # without end.
 MAX_INTERIM_RESPONSES = 16
+MAX_STATUS = 599
+_HTTP_MAJOR = b'1.'
+_BODY_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 _RECEIVE_BYTES = 65_536
 
 
@@ -155,6 +159,7 @@
             response = await self._next_event()
         if not isinstance(response, h11.Response):
             raise errors.PeerLost(f'{self._authority} closed the connection')
+        self._check_response(response)
         body = bytearray()
         event = await self._next_event()
         while isinstance(event, h11.Data):
@@ -186,6 +191,13 @@
             f'malformed HTTP from {self._authority}: {error}'
         )
 
+    def _check_response(self, response: h11.Response) -> None:
+        if not is_valid_response(response):
+            raise errors.ProtocolViolation(
+                f'{self._authority} sent a response that is not one of'
+                f' HTTP/1.x: status {response.status_code}'
+            )
+
     def _check_size(self, body: bytearray) -> None:
         if len(body) > MAX_BODY_BYTES:
             raise errors.ProtocolViolation(
@@ -207,6 +219,22 @@
         return bool(links.pending_events(self._sock, select.POLLIN))
 
 
+def is_valid_response(response: h11.Response) -> bool:
+    """Return whether a final response is one of HTTP/1.x.
+
+    h11 accepts any version, and each status from 200 to 999. A body that a 204
+    announces is not read, so the rest of the stream would depend on the reader.
+    """
+    if not response.http_version.startswith(_HTTP_MAJOR):
+        return False
+    if response.status_code > MAX_STATUS:
+        return False
+    return response.status_code != http.HTTPStatus.NO_CONTENT or all(
+        name not in _BODY_HEADERS or content == b'0'
+        for name, content in response.headers
+    )
+
+
 def prepare_for_reuse(protocol: h11.Connection) -> bool:
     """Prepare for the next exchange; return whether that is possible."""
     if protocol.trailing_data[0]:
