Choose replicas by how long work takes at them now

Cause: backend servers that share machines add a fourth figure to their load reports, how long work takes there at the moment. A report with four figures was dropped as a whole, so such servers had no known load at all.

A figure that is always wrong by the same factor cancels out.

--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -205,10 +205,11 @@
         subrequest = attempt.subrequest
         self.reachability.record_answer(attempt.availability_zone)
         self.notices.apply(attempt.backend_id, reply, now)
-        self._end_attempt(attempt, reply.outcome, now)
         if reply.load is not None:
-            self._chooser.record_report(attempt.backend_id, *reply.load, 0, now)
+            # Before the latency of the same answer, which it scales.
+            self._chooser.record_load(attempt.backend_id, reply.load, now)
             self.occupancy.record_load(attempt.backend_id, reply.load)
+        self._end_attempt(attempt, reply.outcome, now)
         if reply.not_run:
             self.occupancy.record_refused_work(attempt.backend_id, now)
         else:
--- a/cardamomflow/platform/replyheaders.py
+++ b/cardamomflow/platform/replyheaders.py
@@ -17,7 +17,10 @@
 MAX_PAUSE_S = 60.0
 # Load reports that are decoded once; most are of a few small numbers.
 KNOWN_REPORTS = 1024
+# Running requests, waiting requests and slots; a fourth figure says how long
+# work takes, in percent of the usual time.
 _LOAD_FIELD_COUNT = 3
+_USUAL_SLOWNESS = 100
 # A number with more digits is not a plausible time or load, and `int` raises an
 # error for more than 4,300 digits.
 _MAX_DIGITS = 9
@@ -87,11 +90,13 @@
 def parse_load(report: bytes) -> requeststate.Load | None:
     """Return the reported load, None without a valid report."""
     numbers = report.split(b',')
-    if len(numbers) != _LOAD_FIELD_COUNT:
+    if len(numbers) not in {_LOAD_FIELD_COUNT, _LOAD_FIELD_COUNT + 1}:
         return None
     if not all(_is_number(number.strip()) for number in numbers):
         return None
-    return requeststate.Load(*map(int, numbers))
+    running, waiting, slots, *percentages = map(int, numbers)
+    slowness = percentages[0] / _USUAL_SLOWNESS if percentages else None
+    return requeststate.Load(running, waiting, slots, slowness)
 
 
 def is_signature(text: bytes) -> bool:
--- a/cardamomflow/replicas.py
+++ b/cardamomflow/replicas.py
@@ -9,7 +9,7 @@
 import random as random_module
 from collections.abc import Collection, Sequence, Set
 
-from cardamomflow import limits
+from cardamomflow import limits, requeststate, slowness
 
 LATENCY_WEIGHT = 0.2
 # The latency of an unused replica decays, so that it is tried again.
@@ -77,6 +77,7 @@
         self._errors: float = 0
         self._calls: float = 0
         self._calls_at = now
+        self._slowness: slowness.Slowness | None = None
 
     def load(self, now: float) -> float:
         """Return the expected wait of one more call in seconds.
@@ -99,11 +100,24 @@
             )
 
     def latency_s(self, now: float) -> float:
-        """Return the average latency in seconds, which decays over time."""
+        """Return the average latency in seconds, which decays over time.
+
+        A reported slowness scales it to what calls take now.
+        """
         decay = math.exp((self._latency_at - now) / LATENCY_DECAY_S)
-        return max(INITIAL_LATENCY_S, self._latency_s * decay)
+        latency_s = self._latency_s * decay * self._slowness_factor(now)
+        return max(INITIAL_LATENCY_S, latency_s)
+
+    def record_slowness(self, reported: float, now: float) -> None:
+        if self._slowness is None:
+            self._slowness = slowness.Slowness()
+        self._slowness.record(reported, now)
+
+    def _slowness_factor(self, now: float) -> float:
+        return 1 if self._slowness is None else self._slowness.estimate(now)
 
     def record_latency(self, latency_s: float, now: float) -> None:
+        latency_s /= self._slowness_factor(now)
         if self._latency_s:
             latency_s = (
                 self._latency_s + (latency_s - self._latency_s) * LATENCY_WEIGHT
@@ -113,7 +127,8 @@
 
     def record_failure_latency(self, latency_s: float, now: float) -> None:
         """Record a failure as an answer with at least this latency."""
-        self._latency_s = max(self.latency_s(now), latency_s)
+        latency_s = max(self.latency_s(now), latency_s)
+        self._latency_s = latency_s / self._slowness_factor(now)
         self._latency_at = now
 
     def record_load(self, load: float, now: float) -> None:
@@ -284,6 +299,30 @@
         replica.record_answer(now)
         replica.record_load(load, now - age_s)
 
+    def record_load(
+        self, backend_id: str, load: requeststate.Load, now: float
+    ) -> None:
+        """Record the load that came with an answer."""
+        self.record_report(
+            backend_id, load.running, load.waiting, load.slots, 0, now
+        )
+        if load.slowness is not None:
+            self.record_slowness(backend_id, load.slowness, now)
+
+    def record_slowness(
+        self, backend_id: str, reported: float, now: float
+    ) -> None:
+        """Record how long work takes at a backend server now.
+
+        Parameters
+        ----------
+        backend_id : str
+        reported : float
+            Relative to the usual time; 1 is usual.
+        now : float
+        """
+        self._replica(backend_id, now).record_slowness(reported, now)
+
     def record_missed_report(
         self, backend_id: str, requested_at: float, now: float
     ) -> None:
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -24,11 +24,21 @@
 
 
 class Load(NamedTuple):
-    """Load that a backend server reports with an answer."""
+    """Load that a backend server reports with an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests that run or wait, and how many may run at once.
+    slowness : float or None
+        How long work takes on its machine now, relative to the usual time; None
+        if it does not report that.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 class Reply(NamedTuple):
