Check the API key of each request against the client accounts

The configuration may list client accounts. The host now parses them, checks the key of each request, removes the key before anything else sees it and sends the name of the account to backend servers and owners of parts. The rank of an account replaces that of the route in queues, messages and logs.

Two error messages quoted their input and so could contain a key: that of a malformed head, and that of a configuration that is not valid UTF-8, which quoted the whole document. Both now name only the kind of error.

--- /dev/null
+++ b/cardamomflow/accounts/authentication.py
@@ -0,0 +1,96 @@
+"""Decides whose request it is, from its API key; sans-I/O.
+
+Owns the age of the configuration in real time. A host whose configuration is
+old can't tell an unknown key from one that was added since.
+"""
+
+from cardamomflow import errors
+from cardamomflow.accounts import table
+
+# A configuration that was confirmed longer ago may lack keys that have been
+# added since: changes are in force on all connected hosts within 5 s, and a
+# watch of the platform without changes takes up to 2 s.
+MAX_AGE_S = 4.0
+# Seconds after which a refused caller may try again, probably at another host.
+RETRY_AFTER_S = 0.25
+# Smallest difference between the two clocks that means a suspension; reading
+# both in sequence takes microseconds.
+_MIN_SUSPENSION_S = 0.05
+
+
+class ConfirmationAge:
+    """Real time since the platform confirmed the configuration.
+
+    Monotonic clocks stop while a machine is suspended. The clock since boot
+    does not, so the difference of both shows a suspension.
+    """
+
+    def __init__(self) -> None:
+        """Start without a confirmation."""
+        self._confirmed_at = float('-inf')
+        self._suspended_s: float | None = None
+
+    def record(self, confirmed_at: float, now: float, boot_time: float) -> None:
+        """Record a confirmation.
+
+        The first one after a suspension is ignored, because it may have
+        arrived before.
+
+        Parameters
+        ----------
+        confirmed_at, now : float
+            Monotonic times in seconds.
+        boot_time : float
+            Time since boot in seconds, with suspensions, at `now`.
+        """
+        suspended_s = boot_time - now
+        previous_s, self._suspended_s = self._suspended_s, suspended_s
+        if previous_s is None or suspended_s - previous_s < _MIN_SUSPENSION_S:
+            self._confirmed_at = max(
+                self._confirmed_at, confirmed_at + suspended_s
+            )
+
+    def age_s(self, boot_time: float) -> float:
+        """Return the seconds since the last confirmation, infinite without."""
+        return boot_time - self._confirmed_at
+
+
+def authenticate(
+    accounts: table.AccountTable,
+    key: str | None,
+    age_s: float,
+    *,
+    is_public: bool,
+) -> table.Account | None:
+    """Return the account of a request; None if it needs none.
+
+    Parameters
+    ----------
+    accounts : table.AccountTable
+    key : str or None
+        API key of the request.
+    age_s : float
+        Seconds since the configuration was confirmed.
+    is_public : bool
+        Whether the route needs no key.
+
+    Raises
+    ------
+    errors.UnknownKey
+        The key is missing, or no account holds it.
+    errors.NotReady
+        The key may have been added since the configuration was confirmed.
+    """
+    if not accounts:
+        return None
+    account = None if key is None else accounts.find(key)
+    if account is not None or is_public:
+        return account
+    if key is None:
+        raise errors.UnknownKey('the request needs an API key')
+    if age_s > MAX_AGE_S:
+        raise errors.NotReady(
+            'the accounts known here are too old to refuse an unknown key',
+            retry_after_s=RETRY_AFTER_S,
+        )
+    raise errors.UnknownKey('no account holds the API key')
--- a/cardamomflow/delegatedparts.py
+++ b/cardamomflow/delegatedparts.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from cardamomflow import directory, errors, requeststate, routes, rules, scatter
+from cardamomflow.accounts import table
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import backendlink
 
@@ -33,6 +34,7 @@
         message: backendlink.Message,
         started_at: float,
         budget_s: float,
+        account: table.Account | None = None,
     ) -> None:
         """Start the query.
 
@@ -44,6 +46,7 @@
         started_at : float
         budget_s : float
             Time in seconds until the other host stops waiting.
+        account : table.Account, optional
         """
         super().__init__(
             route,
@@ -51,6 +54,7 @@
             message,
             started_at,
             requeststate.TimeBudget(budget_s),
+            account,
         )
         self.deadline = started_at + min(budget_s, route.timeout_s)
         self.answer_at = started_at + route.target_s
@@ -59,6 +63,11 @@
         self._reported: set[requeststate.Subrequest] = set()
         self._has_reported = False
 
+    @property
+    def rank(self) -> rules.Rank:
+        """Rank that the other host determined."""
+        return self.route.rank
+
     def abandon(self, *, cancel: bool) -> None:
         """Record that the other host no longer waits.
 
@@ -163,12 +172,13 @@
         ),
         services=services,
         route=work.route.name,
-        rank=scatter.rank_number(work.route.rank),
+        rank=scatter.rank_number(work.rank),
         attempts=work.route.attempts,
         target_us=_to_us(target_s),
         budget_us=_to_us(work.deadline - now),
         limit=work.route.limit,
         asked_by=asked_by,
+        account=work.account.name if work.account else '',
     )
 
 
@@ -214,6 +224,7 @@
         ),
         now,
         budget_s,
+        table.Account(request.account) if request.account else None,
     )
 
 
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -338,7 +338,7 @@
         now: float,
     ) -> bool:
         """Send a subrequest to a free candidate; return whether one is free."""
-        is_urgent = subrequest.work.route.rank is rules.Rank.URGENT
+        is_urgent = subrequest.work.rank is rules.Rank.URGENT
         extra_attempts = URGENT_EXTRA_ATTEMPTS if is_urgent else 0
         available = self.occupancy.available(
             subrequest.service, candidates, extra_attempts
@@ -404,7 +404,7 @@
         heapq.heappush(
             self._queues_by_service.setdefault(subrequest.service, []),
             _QueuedSubrequest(
-                subrequest.work.route.rank, next(self._sequence), subrequest
+                subrequest.work.rank, next(self._sequence), subrequest
             ),
         )
 
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -96,6 +96,14 @@
     status = http.HTTPStatus.METHOD_NOT_ALLOWED
 
 
+class UnknownKey(FlowError):
+    """The request has no API key, or one that no client account holds."""
+
+    code = 'unknown_key'
+    status = http.HTTPStatus.UNAUTHORIZED
+    outcome = Outcome.NOT_RUN
+
+
 class NotFound(FlowError):
     """The path, service, work or operation is not known."""
 
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -24,6 +24,8 @@
 
     # Changes in a process's view of the other processes and of the platform.
     ROUTES_IN_FORCE = 'routes in force'
+    ACCOUNTS_IN_FORCE = 'accounts in force'
+    ACCOUNTS_IGNORED = 'accounts ignored'
     CONFIGURATION_IN_FORCE = 'configuration in force'
     BACKEND_CHANGED = 'backend server changed'
     BACKEND_LEAVING = 'backend server leaving'
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -6,10 +6,12 @@
 """
 
 import math
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import curio
+import logbook
 
 from cardamomflow import (
     activerequests,
@@ -32,6 +34,8 @@
     servicezones,
     zonewatch,
 )
+from cardamomflow.accounts import authentication
+from cardamomflow.accounts import table as accounts_table
 from cardamomflow.platform import front
 
 # Number of hosts that is assumed before the first count: a small fleet.
@@ -46,6 +50,8 @@
 # Bytes that each part adds to an answer: a signature of the users' platform
 # has 30 to 40 characters and is followed by a comma.
 PART_BYTES = 40
+# Ignored parts of the accounts of one revision that its log line names.
+MAX_LOGGED_PROBLEMS = 20
 DEFAULT_LINK_MBPS = 1000.0
 _BITS_PER_BYTE = 8
 _BITS_PER_MBIT = 1_000_000
@@ -87,6 +93,7 @@
             process_context, self.directory, self._dispatcher, self.transport
         )
         self.platform_confirmed_at = process_context.clock()
+        self._confirmation_age = authentication.ConfirmationAge()
         self.request_log = requestlog.RequestLog(
             process_context.journal, process_context.clock
         )
@@ -102,6 +109,7 @@
     async def on_routes_changed(self, table: routes.RouteTable) -> None:
         """Apply the routes of a newer revision."""
         self._table = table
+        _log_accounts(self._context.journal, table)
         self._answer_time.clear()
         self.grace_period.retain(table.names)
         self._dispatcher.apply(table)
@@ -128,6 +136,9 @@
     def on_platform_confirmed(self, confirmed_at: float) -> None:
         """Record when the platform confirmed the data of this host."""
         self.platform_confirmed_at = confirmed_at
+        self._confirmation_age.record(
+            confirmed_at, self._clock(), _read_boot_time()
+        )
 
     async def on_hosts_counted(self, hosts: int) -> None:
         """Update the number of hosts that share connections and budgets.
@@ -219,11 +230,30 @@
             raise errors.NotFound(f'no route matches {host}{path}')
         return matching_route
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether requests need the API key of a client account."""
+        return self._table is not None and bool(self._table.accounts)
+
+    def authenticate(
+        self, route: routes.Route, key: str | None
+    ) -> accounts_table.Account | None:
+        """Return the client account of a request; None if it needs none."""
+        if self._table is None:
+            raise errors.NotReady('no accounts are known yet')
+        return authentication.authenticate(
+            self._table.accounts,
+            key,
+            self._confirmation_age.age_s(_read_boot_time()),
+            is_public=route.is_public,
+        )
+
     async def answer(
         self,
         route: routes.Route,
         message: Any,
         time_budget: requeststate.TimeBudget,
+        account: accounts_table.Account | None = None,
     ) -> requeststate.Work:
         """Run a request and return it with its answer."""
         now = self._clock()
@@ -234,6 +264,7 @@
                 message.request_id.decode('latin-1'),
                 error,
                 repeatable=route.repeatable,
+                **requestlog.describe_account(account),
                 **self._platform_view(),
             )
             raise
@@ -243,11 +274,12 @@
             message,
             now,
             time_budget._replace(sending_s=self._sending_s(route)),
+            account,
         )
         ending = await self.active_requests.run(work)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
         duration_s = self._clock() - work.started_at
-        self._metrics.observe('host.latency', route.rank.label, duration_s)
+        self._metrics.observe('host.latency', work.rank.label, duration_s)
         if ending is requeststate.Ending.ANSWERED:
             self.grace_period.record_answer(route.name, duration_s)
             await curio.spawn(
@@ -282,6 +314,12 @@
     ) -> None:
         """Fetch parts on behalf of another host."""
         work.deadline = min(work.deadline, self.grace_period.answer_by)
+        if work.account is not None and self._table is not None:
+            # The message has only the name. An account that this host does
+            # not know yet has the weight of one without a limit.
+            work.account = self._table.accounts.accounts_by_name.get(
+                work.account.name, work.account
+            )
         ending = await self.active_requests.run_parts(work, report)
         self._log_request(work, ending, asked_by=asked_by)
 
@@ -370,6 +408,29 @@
         )
 
 
+def _log_accounts(journal: logbook.Logger, table: routes.RouteTable) -> None:
+    """Log which accounts are in force, and which parts are ignored."""
+    accounts = table.accounts
+    if accounts:
+        journal.info(
+            events.Event.ACCOUNTS_IN_FORCE,
+            revision=table.revision,
+            accounts=len(accounts.accounts_by_name),
+        )
+    if accounts.problems:
+        journal.warning(
+            events.Event.ACCOUNTS_IGNORED,
+            revision=table.revision,
+            problems=accounts.problems[:MAX_LOGGED_PROBLEMS],
+            count=len(accounts.problems),
+        )
+
+
+def _read_boot_time() -> float:
+    """Return the time since boot in seconds, with suspensions."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _ignore_bounds(_: Any) -> None:
     """Ignore changed bounds until a server is attached."""
 
--- a/cardamomflow/platform/documents.py
+++ b/cardamomflow/platform/documents.py
@@ -16,6 +16,7 @@
     routes,
     rules,
 )
+from cardamomflow.accounts import table
 
 _MS = 1000
 _BACKEND_STATES = frozenset(('ready', 'draining'))
@@ -46,8 +47,8 @@
         return _parse_routes(json.loads(content))
     except _DECODE_ERRORS as error:
         raise errors.ProtocolViolation(
-            f'the configuration is malformed: {error!r}'
-        ) from error
+            f'the configuration is malformed: {_describe(error)}'
+        ) from None
 
 
 def parse_backend(backend_id: str, content: bytes) -> register.Backend | None:
@@ -108,9 +109,92 @@
             head_timeout_s=limits['header_timeout_ms'] / _MS,
             idle_timeout_s=limits['idle_timeout_ms'] / _MS,
         ),
+        _parse_accounts(document.get('tenants')),
     )
 
 
+def _describe(error: Exception) -> str:
+    """Describe a decoding error without values of the document.
+
+    The representation of a `UnicodeError` contains the whole document, and
+    with it the keys of the accounts.
+    """
+    if isinstance(error, KeyError | json.JSONDecodeError):
+        return repr(error)
+    return type(error).__name__
+
+
+def _parse_accounts(documents: Any) -> table.AccountTable:
+    """Parse the client accounts; malformed ones become problems."""
+    if not documents:
+        return table.NO_ACCOUNTS
+    if not isinstance(documents, list):
+        return table.AccountTable(problems=('the accounts are not a list',))
+    keys_by_account = []
+    problems = []
+    for position, document in enumerate(documents):
+        try:
+            keys_by_account.append(_parse_account(document))
+        except _DECODE_ERRORS:
+            name = _parse_account_name(document)
+            problems.append(
+                f'malformed account at position {position}: skipped'
+                if name is None
+                else f'malformed account {name!r}: skipped'
+            )
+    return table.create_table(keys_by_account, problems)
+
+
+def _parse_account(
+    document: dict[str, Any],
+) -> tuple[table.Account, list[str]]:
+    """Return an account with its keys; raise for a malformed one."""
+    name = _parse_account_name(document)
+    keys = document['api_keys']
+    are_keys_valid = isinstance(keys, list) and all(map(_is_key, keys))
+    if name is None or not are_keys_valid:
+        raise ValueError
+    priority = document.get('priority')
+    if priority is not None and not _is_integer(priority):
+        raise ValueError
+    account = table.Account(
+        name,
+        None if priority is None else _parse_rank(priority),
+        _parse_amount(document.get('rate_per_s')),
+        _parse_amount(document.get('burst')),
+    )
+    return account, keys
+
+
+def _parse_account_name(document: Any) -> str | None:
+    """Return the name of an account; None if it can't be a header value."""
+    name = document.get('name') if isinstance(document, dict) else None
+    if not isinstance(name, str) or not name.isprintable():
+        return None
+    # Printable strings contain neither lone surrogates nor line ends.
+    return name if name and name == name.strip() else None
+
+
+def _is_key(value: Any) -> bool:
+    return isinstance(value, str) and bool(value)
+
+
+def _is_integer(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _parse_amount(value: Any) -> float:
+    """Return a number that is not negative; 0 if it is absent."""
+    if value is None:
+        return 0
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError
+    amount = float(value)
+    if not math.isfinite(amount) or amount < 0:
+        raise ValueError
+    return amount
+
+
 def _parse_route(document: dict[str, Any]) -> routes.Route:
     shards = tuple(document.get('gather') or ())
     timeout_s = document['timeout_ms'] / _MS
@@ -127,6 +211,7 @@
         rank=_parse_rank(document.get('priority')),
         limit=document.get('top_k', 0),
         minimum_share=document.get('min_shard_ratio', 1),
+        is_public=document.get('public') is True,
     )
 
 
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from cardamomflow import errors, requeststate, routes, webhandler
+from cardamomflow.accounts import table
 from cardamomflow.platform import backendlink, wire
 
 _OK = 200
@@ -20,6 +21,8 @@
 # A number with more digits is not a plausible deadline in milliseconds.
 _MAX_DIGITS = 9
 _HEADERS_SET_BY_HOST = frozenset((wire.DEADLINE, wire.BACKEND_ID))
+# Headers that are removed from requests where there are client accounts.
+_ACCOUNT_HEADERS = frozenset((wire.API_KEY, wire.ACCOUNT))
 
 
 class Application(abc.ABC):
@@ -35,12 +38,30 @@
             No routes are available yet, or no route matches.
         """
 
+    @property
+    @abc.abstractmethod
+    def has_accounts(self) -> bool:
+        """Whether requests need the API key of a client account."""
+
+    @abc.abstractmethod
+    def authenticate(
+        self, route: routes.Route, key: str | None
+    ) -> table.Account | None:
+        """Return the client account of a request; None if it needs none.
+
+        Raises
+        ------
+        errors.UnknownKey, errors.NotReady
+            No account holds the key, or this host can't know yet.
+        """
+
     @abc.abstractmethod
     async def answer(
         self,
         route: routes.Route,
         message: Any,
         time_budget: requeststate.TimeBudget,
+        account: table.Account | None = None,
     ) -> requeststate.Work:
         """Send a request and return it once it is answered.
 
@@ -52,7 +73,7 @@
 
     @abc.abstractmethod
     def record_refusal(self, request_id: str, error: errors.FlowError) -> None:
-        """Record a request for which there was no route."""
+        """Record a request that got no route or has no valid key."""
 
     @property
     @abc.abstractmethod
@@ -76,6 +97,9 @@
 
     async def handle(self, request: webhandler.Request) -> webhandler.Response:
         """Answer one request."""
+        key = None
+        if self._application.has_accounts:
+            key, request = _take_key(request)
         headers = request.headers
         host_parts = headers.get('host', '').rpartition(':')
         request_id = headers.get(wire.REQUEST_ID.decode())
@@ -86,16 +110,18 @@
                 (host_parts[0] or host_parts[2]).lower(),
                 request.path.partition('?')[0],
             )
+            account = self._application.authenticate(route, key)
         except errors.FlowError as error:
             self._application.record_refusal(request_id, error)
             raise
         work = await self._application.answer(
             route,
-            _backend_message(request, request_id),
+            _backend_message(request, request_id, account),
             requeststate.TimeBudget(
                 _caller_timeout_s(headers),
                 CONNECT_TIME_S if request.is_first else 0,
             ),
+            account,
         )
         if route.merges_answers:
             return _merged_response(work)
@@ -131,8 +157,35 @@
     return int(timeout_ms) / _MS
 
 
+def _take_key(
+    request: webhandler.Request,
+) -> tuple[str | None, webhandler.Request]:
+    """Return the API key, and the request without the headers of accounts.
+
+    Several keys are returned as one text, which no account holds.
+    """
+    keys = [
+        content for name, content in request.raw_headers if name == wire.API_KEY
+    ]
+    raw_headers = [
+        (name, content)
+        for name, content in request.raw_headers
+        if name not in _ACCOUNT_HEADERS
+    ]
+    headers = {
+        name: content
+        for name, content in request.headers.items()
+        if name.encode('latin-1') not in _ACCOUNT_HEADERS
+    }
+    # Line ends can't occur in a header, so no key contains one.
+    key = b'\n'.join(keys).decode(errors='surrogateescape') if keys else None
+    return key, request._replace(headers=headers, raw_headers=raw_headers)
+
+
 def _backend_message(
-    request: webhandler.Request, request_id: str
+    request: webhandler.Request,
+    request_id: str,
+    account: table.Account | None,
 ) -> backendlink.Message:
     headers = [
         (name, content)
@@ -140,6 +193,8 @@
         if name not in wire.CONNECTION_HEADERS
         and name not in _HEADERS_SET_BY_HOST
     ]
+    if account is not None:
+        headers.append((wire.ACCOUNT, account.name.encode()))
     if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
         headers.append((b'content-length', b'%d' % len(request.body)))
     return backendlink.Message(
--- a/cardamomflow/requestlog.py
+++ b/cardamomflow/requestlog.py
@@ -12,6 +12,7 @@
 import logbook
 
 from cardamomflow import errors, events, requeststate, tokens
+from cardamomflow.accounts import table
 
 # A line costs about 50 us and 500 bytes; a host answers about 20 requests/s.
 LINES_PER_S = 20.0
@@ -74,7 +75,7 @@
             events.Event.REQUEST_ENDED,
             request_id=request_id,
             route=work.route.name,
-            rank=work.route.rank.label,
+            rank=work.rank.label,
             repeatable=work.route.repeatable,
             ending=ending_name,
             took_ms=_to_ms(now - work.started_at),
@@ -83,6 +84,7 @@
             parts=work.answered_count,
             needed=work.needed,
             asked=len(work.subrequests),
+            **describe_account(work.account),
             **_describe_subrequests(work, now),
             **fields,
         )
@@ -156,6 +158,11 @@
         return self._line_budget.withdraw()
 
 
+def describe_account(account: table.Account | None) -> dict[str, str]:
+    """Return the field of a line that names the client account."""
+    return {} if account is None else {'account': account.name}
+
+
 def _ending_name(
     work: requeststate.Work, ending: requeststate.Ending, now: float
 ) -> str:
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from cardamomflow import directory, limits, routes
+from cardamomflow import directory, limits, routes, rules
+from cardamomflow.accounts import table
 
 # Size of the records that the answer to a query consists of.
 RECORD_BYTES = 16
@@ -257,6 +258,8 @@
         Number of parts that an answer must contain.
     is_delegated : bool
         Whether another host asked for the parts.
+    account : table.Account or None
+        Client account of the request.
     """
 
     is_delegated = False
@@ -268,6 +271,7 @@
         message: Any,
         started_at: float,
         time_budget: TimeBudget,
+        account: table.Account | None = None,
     ) -> None:
         """Start a request.
 
@@ -279,8 +283,10 @@
         message : Any
         started_at : float
         time_budget : TimeBudget
+        account : table.Account, optional
         """
         self.route = route
+        self.account = account
         self.message = message
         self.started_at = started_at
         allowed_s = min(time_budget.remaining_s, route.timeout_s)
@@ -302,6 +308,13 @@
         self.failed_count = 0
         self.needed = route.needed_parts
 
+    @property
+    def rank(self) -> rules.Rank:
+        """Rank of the client account if it has one, else of the route."""
+        if self.account is None or self.account.rank is None:
+            return self.route.rank
+        return self.account.rank
+
     @property
     def is_settled(self) -> bool:
         """Whether every subrequest is settled or the request has ended."""
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -290,7 +290,9 @@
                 raise errors.HeadTooLarge(
                     f'the head exceeds {self._server.bounds.head_bytes} bytes'
                 ) from error
-            raise errors.BadRequest(f'malformed HTTP: {error}') from error
+            # The text after the colon quotes the input, which may be a key.
+            reason = str(error).partition(':')[0]
+            raise errors.BadRequest(f'malformed HTTP: {reason}') from error
 
     async def _receive(self) -> bytes:
         received = await self._sock.recv(_RECEIVE_BYTES)
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -129,35 +129,35 @@
 
     def publish(self, version, prefix='/lookup/'):
         """Write a configuration with one route of each kind."""
+        document = self.create_configuration(version, prefix)
+        self.store.put('op/config', document)
+
+    def create_configuration(self, version, prefix):
+        """Return a configuration with one route of each kind."""
         services = list(self._services)
-        self.store.put(
-            'op/config',
-            users.configuration_document(
-                version,
-                [
-                    users.route_document(
-                        'lookup',
-                        prefix,
-                        gather=services,
-                        top_k=3,
-                        min_shard_ratio=0.5,
-                    ),
-                    users.route_document(
-                        'statement', '/statement/', service='a'
-                    ),
-                    users.route_document(
-                        'report', '/report/', service=services[-1]
-                    ),
-                    users.route_document(
-                        'payment',
-                        '/payment/',
-                        service='a',
-                        route_type='unsafe',
-                    ),
-                ],
-                services,
-                max_body_bytes=self.max_body_bytes,
-            ),
+        return users.configuration_document(
+            version,
+            [
+                users.route_document(
+                    'lookup',
+                    prefix,
+                    gather=services,
+                    top_k=3,
+                    min_shard_ratio=0.5,
+                ),
+                users.route_document('statement', '/statement/', service='a'),
+                users.route_document(
+                    'report', '/report/', service=services[-1]
+                ),
+                users.route_document(
+                    'payment',
+                    '/payment/',
+                    service='a',
+                    route_type='unsafe',
+                ),
+            ],
+            services,
+            max_body_bytes=self.max_body_bytes,
         )
 
     async def send_request(self, target, method='GET', body=b'', **changes):
@@ -167,6 +167,7 @@
             ('x-request-id', changes.get('request_id', 'r1')),
             ('x-request-deadline', str(changes.get('deadline_ms', 2000))),
             ('content-length', str(len(body))),
+            *changes.get('headers', ()),
         ]
         protocol = h11.Connection(h11.CLIENT)
         sock = await links.open_socket(
