Take changes from other hosts while the store turns a host away

A host whose own calls failed watched only the store, and the first host by rank never had a relay. So a change did not reach a host that the store refused until the store served it again, though its neighbours had it.

Once it fails or is late, the host asks the hosts of its group how new their knowledge is, a few at a time, and subscribes to one that knows something newer. Ages count from the store's confirmation, so hosts that only hear each other are no sources for each other. A relay that is turned away says so; its subscribers use the next host by rank without a call. Entries that vanish are held for an outage only while no other host sends the changes.

--- a/cardamomflow/changefeed.py
+++ b/cardamomflow/changefeed.py
@@ -3,12 +3,16 @@
 Owns the choice of the relay of a host, the age of the feed, and the updates
 that a host can relay. A subscriber does not watch the platform while its relay
 sends all changes. When the relay stops responding, or does not follow the
-platform itself, the subscriber watches the platform.
+platform itself, the subscriber watches the platform. A host that the platform
+turns away looks for any host whose knowledge is newer than its own.
+
+Ages count from the platform's confirmation, and each message adds its time on
+the way. So hosts that only receive updates from each other grow old together.
 """
 
 import collections
 import zlib
-from collections.abc import Container, Hashable, Sequence
+from collections.abc import Container, Hashable, Iterable, Sequence
 from typing import NamedTuple
 
 from cardamomflow import avoidedmembers, errors, ownership, routing
@@ -28,6 +32,22 @@
 # Time without a request after which a subscription expires. A subscriber that
 # changes its relay may be unable to cancel its subscription.
 SUBSCRIPTION_TTL_S = 3.0
+# Time of failed calls after which a relay reports that it is turned away. A
+# single failed call is usually followed by a successful one within 0.4 s.
+TURNED_AWAY_AFTER_S = 0.6
+# A host that is turned away asks this many hosts for their newest update at
+# once, and the next ones after an interval. So it asks a group of 24 hosts
+# within 1 s. After `FAST_SEARCH_S` without an answer that helps, it asks less
+# often: then the platform is probably down for all hosts.
+PROBES_PER_ROUND = 6
+PROBE_INTERVAL_S = 0.25
+FAST_SEARCH_S = 5.0
+SLOW_PROBE_INTERVAL_S = 0.75
+# Knowledge that is newer by less than this is not worth another source.
+MINIMUM_GAIN_S = 0.1
+# Oldest knowledge with which a host is accepted as source. It leaves time for a
+# heartbeat before `MAX_AGE_S`.
+MAX_SOURCE_AGE_S = 1.8
 # Updates that are kept for new subscribers, which have read the platform a
 # moment before.
 MAX_KEPT_UPDATES = 64
@@ -52,6 +72,8 @@
     outage_until : float
         Until when entries may be missing only because their leases expired
         in an outage.
+    is_turned_away : bool
+        Whether the platform turns away the host that relays the update.
     """
 
     before: int
@@ -59,6 +81,7 @@
     content: bytes
     confirmed_at: float
     outage_until: float
+    is_turned_away: bool = False
 
 
 def pack(content: bytes) -> bytes:
@@ -183,6 +206,10 @@
         self._fresh_until = float('-inf')
         self._avoided = avoidedmembers.AvoidedMembers()
 
+    def outranks(self, host_id: str) -> bool:
+        """Whether a host is preferred to this one as relay."""
+        return _relay_rank(host_id) < _relay_rank(self._own_id)
+
     def choose_relay(
         self,
         group: Sequence[ownership.Member],
@@ -193,17 +220,10 @@
 
         None means that this host has to watch the platform itself.
         """
-        ranked_ids = sorted(
-            (member.host_id for member in group),
-            # This hash key decides which host relays the feed. All hosts of a
-            # running fleet use it, so it must not change.
-            key=lambda host_id: routing.score('news', host_id),
-        )
-        for host_id in ranked_ids:
+        for host_id in rank_relays(group):
             if host_id == self._own_id:
                 return None
-            is_avoided = self._avoided.is_avoided(host_id, now)
-            if host_id in usable and not is_avoided:
+            if host_id in usable and not self.is_avoided(host_id, now):
                 return host_id
         return None
 
@@ -225,24 +245,52 @@
     def next_update(self, revision: int, now: float) -> Update | None:
         """Return the next update, None without one.
 
-        A relay whose feed is too old is avoided for `AVOIDED_S`. After a gap
-        the same relay is used again, once this host has read the missing
-        changes from the platform.
+        A relay whose feed is too old, or that the platform turns away, is
+        avoided for `AVOIDED_S`. After a gap the same relay is used again, once
+        this host has read the missing changes from the platform.
+        """
+        if now >= self._fresh_until:
+            self.avoid_relay(now)
+        while self._received:
+            update = self._received.popleft()
+            if not update.is_turned_away and _joins(update, revision):
+                return update
+            self._refuse(update, revision, now)
+        return None
+
+    def next_substitute(self, revision: int, now: float) -> Update | None:
+        """Return the next update for a turned-away host, None without one.
+
+        A source whose feed is too old may be the first to recover, so it is
+        not avoided. After a gap it is: this host can't read the missing
+        changes.
         """
         if now >= self._fresh_until:
-            self._avoid_relay(now)
+            self.switch_relay(None, now)
         while self._received:
             update = self._received.popleft()
-            if update.before <= revision <= update.revision:
+            if _joins(update, revision):
                 return update
             if update.before > revision:
-                self.switch_relay(None, now)
-            elif not update.content:
-                # The relay is behind this host.
-                self._avoid_relay(now)
+                self.avoid_relay(now)
         return None
 
-    def _avoid_relay(self, now: float) -> None:
+    def _refuse(self, update: Update, revision: int, now: float) -> None:
+        """Leave the relay, unless this host only knows the update already."""
+        if update.is_turned_away:
+            self.avoid_relay(now)
+        elif update.before > revision:
+            self.switch_relay(None, now)
+        elif not update.content:
+            # The relay is behind this host.
+            self.avoid_relay(now)
+
+    def is_avoided(self, host_id: str, now: float) -> bool:
+        """Whether a host is not used as relay at present."""
+        return self._avoided.is_avoided(host_id, now)
+
+    def avoid_relay(self, now: float) -> None:
+        """Use no relay, and avoid the present one for `AVOIDED_S`."""
         if self.relay is not None:
             self._avoided.avoid(self.relay, now + AVOIDED_S, now)
         self.switch_relay(None, now)
@@ -250,3 +298,90 @@
     def wait_s(self, now: float) -> float:
         """Return how long to wait for an update before the feed is too old."""
         return max(0, self._fresh_until - now)
+
+
+class SourceSearch:
+    """Search of a turned-away host for a host with newer knowledge."""
+
+    def __init__(self) -> None:
+        self._started_at: float | None = None
+        self._probe_at = float('-inf')
+        self._asked_ids: set[str] = set()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether this host looks for a source."""
+        return self._started_at is not None
+
+    def stop(self) -> None:
+        """End the search."""
+        self._started_at = None
+
+    def next_probes(
+        self, candidates: Iterable[str], now: float
+    ) -> Sequence[str]:
+        """Return the hosts to ask now, in the order of the candidates.
+
+        All candidates are asked once before any of them is asked again.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        if now < self._probe_at:
+            return ()
+        is_fast = now - self._started_at < FAST_SEARCH_S
+        interval_s = PROBE_INTERVAL_S if is_fast else SLOW_PROBE_INTERVAL_S
+        self._probe_at = now + interval_s
+        candidate_ids = list(candidates)
+        unasked_ids = [
+            host_id
+            for host_id in candidate_ids
+            if host_id not in self._asked_ids
+        ]
+        if not unasked_ids:
+            self._asked_ids.clear()
+            unasked_ids = candidate_ids
+        chosen_ids = unasked_ids[:PROBES_PER_ROUND]
+        self._asked_ids.update(chosen_ids)
+        return chosen_ids
+
+    def wait_s(self, now: float) -> float:
+        """Return how long to wait before the next probes."""
+        return max(0, self._probe_at - now)
+
+
+def is_useful_source(
+    update: Update, revision: int, known_at: float, now: float
+) -> bool:
+    """Whether the sender of a heartbeat can serve a turned-away host.
+
+    Parameters
+    ----------
+    update : Update
+        Answer to a probe.
+    revision : int
+        Revision that is in force at this host.
+    known_at : float
+        When the platform confirmed what this host knows.
+    now : float
+    """
+    is_newer = update.confirmed_at > known_at + MINIMUM_GAIN_S
+    is_recent = now - update.confirmed_at < MAX_SOURCE_AGE_S
+    return is_newer and is_recent and update.revision >= revision
+
+
+def _joins(update: Update, revision: int) -> bool:
+    """Whether an update continues from a revision without a gap."""
+    return update.before <= revision <= update.revision
+
+
+def rank_relays(group: Iterable[ownership.Member]) -> list[str]:
+    """Return the ids of a group, the preferred relay first."""
+    return sorted((member.host_id for member in group), key=_relay_rank)
+
+
+def _relay_rank(host_id: str) -> int:
+    """Return the sort key of hosts as relays, the preferred one first.
+
+    All hosts of a running fleet use this hash key, so it must not change.
+    """
+    return routing.score('news', host_id)
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -227,7 +227,7 @@
             *(() if peer_listener is None else (peer_listener.serve,)),
             follower.follow,
             follower.expire_backends,
-            follower.announce,
+            follower.own_entry.announce,
         ),
         (
             *_log_tasks(process_context, program.request_log),
@@ -284,7 +284,7 @@
     components.caller_server.announce_stop()
     await components.host.stop_by(drained_by - LAST_ANSWER_TIMEOUT_S)
     await components.peer_server.announce_stop()
-    await components.follower.leave()
+    await components.follower.own_entry.leave()
     # The platform removes a host from its rotation after two failed readiness
     # checks, a second apart.
     await curio.sleep(HOST_DRAIN_DELAY_S)
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -35,6 +35,7 @@
     VIEW_OLD = 'view of the members too old'
     PLATFORM_LOST = 'platform lost'
     FEED_SOURCE = 'change feed source'
+    FEED_REPLACES_STORE = 'change feed replaces store'
     CHANGES_TAKEN = 'changes taken'
     CHANGES_RELAYED = 'changes relayed'
     PLATFORM_REGAINED = 'platform regained'
--- a/cardamomflow/feedlinks.py
+++ b/cardamomflow/feedlinks.py
@@ -1,18 +1,22 @@
 """The change feed over the links between hosts.
 
-Owns the links of the subscribers. `changefeed` chooses the relay of this host
-and keeps the updates that it can relay.
+Owns the subscription of this host. `changefeed` chooses the relay of this host,
+and `feedrelay` is the side that relays updates to others.
+
+A host that the platform turns away asks other hosts for heartbeats (probes),
+and subscribes to the first one that knows something newer.
 """
 
+from collections.abc import Iterator
+
 import curio
 
 from cardamomflow import (
     changefeed,
     context,
     discovery,
-    errors,
     events,
-    linkkeepalive,
+    feedrelay,
     peering,
 )
 from cardamomflow.generated import wire_pb2
@@ -20,26 +24,26 @@
 _MS = 1000
 
 
-class FeedLinks(discovery.FeedPeers, peering.FeedServer):
+class FeedLinks(feedrelay.FeedRelay, discovery.FeedPeers):
     """The change feed of one host, from its relay and to its subscribers."""
 
     def __init__(
         self, process_context: context.Context, peer_client: peering.PeerClient
     ) -> None:
-        self._history = changefeed.UpdateHistory()
+        super().__init__(process_context)
         self._subscription = changefeed.Subscription(
             peer_client.owners.own.host_id
         )
         self._peer_client = peer_client
-        self._clock = process_context.clock
-        self._journal = process_context.journal
-        self._metrics = process_context.metrics
-        self._subscribers = changefeed.Subscribers()
         # The host that received the last subscription request of this one,
         # None after a stop request.
         self._subscribed_to: str | None = None
         self._revision = 0
         self._update_received = curio.Event()
+        self._search = changefeed.SourceSearch()
+        # Whether `next_substitute` has to return.
+        self._is_interrupted = False
+        self._relay_is_turned_away = False
         peer_client.links.on_update = self._receive
 
     @property
@@ -47,11 +51,6 @@
         """The host that relays the feed to this one, None without one."""
         return self._subscription.relay
 
-    @property
-    def has_subscribers(self) -> bool:
-        """Whether other hosts receive the feed from this one."""
-        return len(self._subscribers) > 0
-
     async def run(self) -> None:
         """Renew and expire subscriptions until cancelled."""
         while True:
@@ -64,42 +63,10 @@
         if self._subscribed_to is not None:
             await self._request(self._subscribed_to, renews=True)
 
-    # As a relay.
-
-    async def on_feed_request(
-        self, link: linkkeepalive.WireLink, request: wire_pb2.FeedRequest
-    ) -> None:
-        """Start, renew or end the subscription of a host."""
-        if request.stop:
-            self._subscribers.remove(link)
-            return
-        exists = self._subscribers.renew(link, request.sent_ms, self._clock())
-        if exists and request.renews:
-            heartbeat = self._history.heartbeat()
-            updates = [] if heartbeat is None else [heartbeat]
-        else:
-            updates = self._history.since(request.revision)
-        for update in updates:
-            await self._send(link, update)
-
-    def on_link_closed(self, link: linkkeepalive.WireLink) -> None:
-        """Remove the subscription of a host whose link closed."""
-        self._subscribers.remove(link)
-
-    async def publish(self, update: changefeed.Update) -> None:
-        """Relay an update that is in force at this host."""
-        self._history.append(update)
-        if not update.content or not self._subscribers:
-            return
-        self._log_relayed(update)
-        for link in list(self._subscribers.requested_ms_by_link):
-            await self._send(link, update)
-
-    def on_platform_lost(self, outage_until: float) -> None:
-        """Report the outage in the next heartbeats."""
-        self._history.set_outage_until(outage_until)
-
-    # As a subscriber.
+    def on_platform_regained(self) -> None:
+        """Follow the usual relay again, or none."""
+        super().on_platform_regained()
+        self._search.stop()
 
     async def next_update(self, revision: int) -> changefeed.Update | None:
         """Wait for an update from the relay.
@@ -114,15 +81,99 @@
             update = self._subscription.next_update(revision, self._clock())
             if update is not None:
                 return update
-            if self._subscription.relay is None:
-                await self._unsubscribe()
-                self._log_relay(None)
+            if self._subscription.relay is not None:
+                await self._wait(self._subscription.wait_s(self._clock()))
+                continue
+            await self._unsubscribe()
+            # The next host by rank can replace a relay that is turned away
+            # without a call of this host.
+            if not (self._relay_is_turned_away and self._is_current()):
                 return None
-            async with curio.ignore_after(
-                self._subscription.wait_s(self._clock())
-            ):
-                await self._update_received.wait()
-            self._update_received.clear()
+
+    async def next_substitute(
+        self, revision: int, search_at: float
+    ) -> changefeed.Update | None:
+        """Wait for an update of any host while the platform does not answer.
+
+        Returns None after `interrupt`.
+        """
+        self._revision = revision
+        while not self._is_interrupted:
+            now = self._clock()
+            update = self._subscription.next_substitute(revision, now)
+            if update is not None:
+                return update
+            await self._wait(await self._seek_source(search_at, now))
+        self._is_interrupted = False
+        return None
+
+    async def _seek_source(self, search_at: float, now: float) -> float:
+        """Ask other hosts if none is followed; return how long to wait."""
+        if self._subscription.relay is not None:
+            return self._subscription.wait_s(now)
+        await self._unsubscribe()
+        if now < search_at:
+            return search_at - now
+        await self._probe(now)
+        return self._search.wait_s(now)
+
+    async def interrupt(self) -> None:
+        """Make `next_substitute` return None."""
+        self._is_interrupted = True
+        await self._update_received.set()
+
+    @property
+    def has_usual_relay(self) -> bool:
+        """Whether a host with the platform that outranks this one relays."""
+        relay = self._subscription.relay
+        return (
+            relay is not None
+            and not self._relay_is_turned_away
+            and self._subscription.outranks(relay)
+        )
+
+    async def _probe(self, now: float) -> None:
+        """Ask some hosts of the group for their newest heartbeat."""
+        if self._failing_since is None:
+            # The platform is silent, and the call has not failed yet.
+            self._failing_since = now
+        for host_id in self._search.next_probes(self._candidates(now), now):
+            self._metrics.increment('host.feed_probes')
+            await self._request(host_id, probe=True)
+
+    def _candidates(self, now: float) -> Iterator[str]:
+        """Yield the hosts of the group that may be sources, by rank."""
+        reachable = self._peer_client.reachable()
+        for host_id in changefeed.rank_relays(self._peer_client.group):
+            is_own = host_id == self._peer_client.owners.own.host_id
+            if is_own or host_id not in reachable:
+                continue
+            if not self._subscription.is_avoided(host_id, now):
+                yield host_id
+
+    async def _follow_substitute(
+        self, host_id: str, heartbeat: changefeed.Update
+    ) -> None:
+        """Subscribe to a host that has answered a probe."""
+        now = self._clock()
+        self._search.stop()
+        self._subscription.switch_relay(host_id, now)
+        self._relay_is_turned_away = heartbeat.is_turned_away
+        self._subscribed_to = host_id
+        self._metrics.increment('host.feed_substitutes')
+        self._journal.warning(
+            events.Event.FEED_REPLACES_STORE,
+            peer=host_id,
+            age_ms=feedrelay.to_ms(now - heartbeat.confirmed_at),
+            own_age_ms=feedrelay.to_ms(now - self._known_at),
+        )
+        await self._request(host_id)
+
+    async def _wait(self, span_s: float) -> None:
+        """Wait for an update or an interruption, or for a time."""
+        async with curio.ignore_after(span_s):
+            await self._update_received.wait()
+        self._update_received.clear()
 
     async def _update_relay(self) -> None:
         """Subscribe to the preferred relay, if it is not in use."""
@@ -133,10 +184,12 @@
         )
         if chosen == self._subscription.relay:
             return
+        self._search.stop()
         await self._unsubscribe()
         self._subscription.switch_relay(chosen, self._clock())
-        self._log_relay(chosen)
+        self._relay_is_turned_away = False
         if chosen is not None:
+            self._log_relay(chosen)
             self._subscribed_to = chosen
             await self._request(chosen)
 
@@ -144,27 +197,19 @@
         """Cancel the subscription at the previous relay."""
         old_relay, self._subscribed_to = self._subscribed_to, None
         if old_relay is not None:
+            self._log_relay(None)
             await self._request(old_relay, stop=True)
 
-    def _log_relayed(self, update: changefeed.Update) -> None:
-        """Log a change before it is enqueued, with the bytes ahead of it."""
-        self._journal.info(
-            events.Event.CHANGES_RELAYED,
-            revision=update.revision,
-            subscribers=len(self._subscribers),
-            content_bytes=len(update.content),
-            unsent_bytes=sum(
-                link.unsent_bytes
-                for link in self._subscribers.requested_ms_by_link
-            ),
-            age_ms=_to_ms(self._clock() - update.confirmed_at),
-        )
-
     def _log_relay(self, relay: str | None) -> None:
         self._journal.info(events.Event.FEED_SOURCE, peer=relay)
 
     async def _request(
-        self, host_id: str, *, renews: bool = False, stop: bool = False
+        self,
+        host_id: str,
+        *,
+        renews: bool = False,
+        stop: bool = False,
+        probe: bool = False,
     ) -> None:
         link = self._peer_client.links.link_to(host_id)
         if link is None:
@@ -173,7 +218,8 @@
             revision=self._revision,
             renews=renews,
             stop=stop,
-            sent_ms=_to_ms(self._clock()),
+            probe=probe,
+            sent_ms=feedrelay.to_ms(self._clock()),
         )
         await link.post_if_open(wire_pb2.Envelope(feed_request=request))
 
@@ -188,40 +234,28 @@
         """
         now = self._clock()
         requested_at = min(now, message.requested_ms / _MS)
-        self._subscription.receive(
-            host_id,
-            changefeed.Update(
-                message.before,
-                message.revision,
-                message.content,
-                requested_at - message.age_ms / _MS,
-                now + message.outage_ms / _MS,
-            ),
+        update = changefeed.Update(
+            message.before,
+            message.revision,
+            message.content,
+            requested_at - message.age_ms / _MS,
+            now + message.outage_ms / _MS,
+            message.turned_away,
         )
+        if message.is_probe_answer:
+            await self._receive_probe_answer(host_id, update)
+            return
+        if host_id == self._subscription.relay:
+            self._relay_is_turned_away = update.is_turned_away
+        self._subscription.receive(host_id, update)
         await self._update_received.set()
 
-    async def _send(
-        self, link: linkkeepalive.WireLink, update: changefeed.Update
+    async def _receive_probe_answer(
+        self, host_id: str, heartbeat: changefeed.Update
     ) -> None:
-        requested_ms = self._subscribers.requested_ms_by_link.get(link)
-        if requested_ms is None:
-            return
-        now = self._clock()
-        message = wire_pb2.FeedUpdate(
-            before=update.before,
-            revision=update.revision,
-            content=update.content,
-            age_ms=_to_ms(now - update.confirmed_at),
-            outage_ms=_to_ms(update.outage_until - now),
-            requested_ms=requested_ms,
-        )
-        try:
-            await link.post(wire_pb2.Envelope(feed_update=message))
-        except errors.FlowError:
-            self._subscribers.remove(link)
-        else:
-            self._metrics.increment('host.feed_messages')
-
-
-def _to_ms(span_s: float) -> int:
-    return int(max(0, span_s) * _MS)
+        """Follow a host that knows something newer, if none is followed."""
+        if self._search.is_active and changefeed.is_useful_source(
+            heartbeat, self._revision, self._known_at, self._clock()
+        ):
+            await self._follow_substitute(host_id, heartbeat)
+            await self._update_received.set()
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -83,6 +83,18 @@
         '',
         'Updates and heartbeats of the change feed to subscribers.',
     ),
+    MetricDefinition(
+        'host.feed_probes',
+        'host_feed_probes',
+        '',
+        'Messages that asked another host how new its knowledge is.',
+    ),
+    MetricDefinition(
+        'host.feed_substitutes',
+        'host_feed_substitutes',
+        '',
+        'Times that a host which the store turned away followed another one.',
+    ),
     MetricDefinition(
         'host.silent_owners',
         'host_silent_owners',
@@ -369,6 +381,12 @@
         '',
         'Time since the platform answered.',
     ),
+    MetricDefinition(
+        'host.turned_away',
+        'host_turned_away',
+        '',
+        'Whether the own calls to the store fail, 1 or 0.',
+    ),
     MetricDefinition(
         'host.known_hosts', 'host_known_hosts', '', 'Hosts that share limits.'
     ),
--- a/standins/users.py
+++ b/standins/users.py
@@ -16,7 +16,7 @@
 
 import curio
 
-from cardamomflow import errors, webhandler
+from cardamomflow import errors, webhandler, webserver
 from cardamomflow.platform import wire
 
 _LONGEST_POLL_S = 0.02
@@ -218,6 +218,64 @@
         return webhandler.Response(200, {**document, 'as_of': self.revision})
 
 
+class StoreDoor(webserver.WebServer):
+    """The way of one host to the store, which can turn this host away.
+
+    Attributes
+    ----------
+    status : int or None
+        Status of all answers while the host is turned away.
+    resets : bool
+        Whether connections are closed instead of an answer.
+    is_silent : bool
+        Whether calls get no answer.
+    """
+
+    def __init__(self, store: Store) -> None:
+        """Bind a port of its own."""
+        super().__init__('127.0.0.1', 0, _DoorHandler(self, store))
+        self.status: int | None = None
+        self.resets = False
+        self.is_silent = False
+        # Calls of the host, answered or not.
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+
+    def serve_again(self) -> None:
+        """Turn the host away no more."""
+        self.status = None
+        self.resets = False
+        self.is_silent = False
+
+
+class _DoorHandler(webhandler.RequestHandler):
+    """Passes calls on to the store unless the door turns them away."""
+
+    def __init__(self, door: StoreDoor, store: Store) -> None:
+        self._door = door
+        self._store = store
+
+    async def handle(self, request: webhandler.Request) -> webhandler.Response:
+        kind = request.path.removeprefix('/api/').partition('?')[0]
+        self._door.calls_by_kind[kind.partition('/')[0]] += 1
+        refusal = await self._refusal()
+        if refusal is not None:
+            return refusal
+        response = await self._store.handle(request)
+        # A watch that was waiting when the host was turned away fails too.
+        return await self._refusal() or response
+
+    async def _refusal(self) -> webhandler.Response | None:
+        door = self._door
+        if door.is_silent:
+            await curio.sleep(_SILENCE_S)
+        if door.resets:
+            for connection in door.open_connections():
+                await connection.close()
+        if door.status is None:
+            return None
+        return webhandler.Response(door.status, {'error': 'turned away'})
+
+
 class BackendServer(webhandler.RequestHandler):
     """A backend server of one service."""
 
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -75,11 +75,12 @@
 
     def _create_host(self, host_id, settings):
         """Return the parts of a host and its client of the store."""
-        client = kvstore.KvStore('127.0.0.1', self.store_port, 0.5)
+        store_port = self.store_port_of(host_id)
+        client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
         created = users.host_settings(
             host_id,
             'z1',
-            self.store_port,
+            store_port,
             retry_share=1.0,
             retry_burst=100,
             log={'level': 'error'},
@@ -87,6 +88,11 @@
         )
         return daemons.create_host(context.create(created), client), client
 
+    def store_port_of(self, host_id):
+        """Return the port at which a host reaches the store."""
+        del host_id
+        return self.store_port
+
     async def start_host(self, store_port):
         """Start the host in the current event loop."""
         parts, self._store_client = self._create_host('host-1', self._settings)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -104,19 +104,32 @@
     relay = 'relay'
     has_subscribers = True
 
+    has_usual_relay = False
+
     def __init__(self, received=None):
         self.published = []
         self._received = received
+        self._interrupted = curio.Event()
 
     async def next_update(self, revision):
         return self._received
 
+    async def next_substitute(self, revision, search_at):
+        await self._interrupted.wait()
+        self._interrupted.clear()
+
+    async def interrupt(self):
+        await self._interrupted.set()
+
     async def publish(self, update):
         self.published.append(update)
 
     def on_platform_lost(self, outage_until):
         raise NotImplementedError
 
+    def on_platform_regained(self):
+        return None
+
 
 class LonePeers(Peers):
     """Peers of a host that relays to none."""
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -46,6 +46,11 @@
         yield f'127.0.0.1:{listener.getsockname()[1]}'
 
 
+def relay_rank(host_id):
+    """Return the sort key of hosts as relays, the preferred one first."""
+    return routing.score('news', host_id)
+
+
 def counter_total(host, name):
     return host._metrics.totals_by_name[name]
 
@@ -90,10 +95,7 @@
 
     def relay_id(self):
         """Return the id of the host that the others should use as relay."""
-        return min(
-            self.parts_by_id(),
-            key=lambda host_id: routing.score('news', host_id),
-        )
+        return min(self.parts_by_id(), key=relay_rank)
 
     def relays(self):
         return {parts.feed_links._subscription.relay for parts in self.hosts()}
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -39,8 +39,8 @@
 ADDED_FIELDS_BY_MESSAGE = {
     'PartsAnswer': {'leaving'},
     'PartsRequest': {'account'},
-    'FeedRequest': {'era'},
-    'FeedUpdate': {'era'},
+    'FeedRequest': {'era', 'probe'},
+    'FeedUpdate': {'era', 'turned_away', 'is_probe_answer'},
 }
 # Messages that a later build has added.
 ADDED_MESSAGES = {'token_request', 'token_grant'}
--- /dev/null
+++ b/tests/test_turned_away.py
@@ -0,0 +1,249 @@
+"""Hosts that the store turns away while it serves others, over real sockets."""
+
+import random
+import unittest
+from unittest import mock
+
+import curio
+
+from cardamomflow import changefeed, discovery
+from standins import users
+from tests import hostworld, loops, test_peering
+
+# Time within which a change is in force, and the part of it that tests leave
+# to busy machines.
+CONFIG_APPLY_S = 5.0
+MARGIN_S = 1.0
+HOSTS = 5
+
+
+class TurnedAwayWorld(hostworld.HostWorld):
+    """Hosts of one zone, each with a way of its own to the store."""
+
+    def __init__(self):
+        super().__init__(('a', 'b'), peers=test_peering.reserve_address())
+        self.doors_by_id = {
+            f'host-{number}': users.StoreDoor(self.store)
+            for number in range(1, HOSTS + 1)
+        }
+
+    async def __aenter__(self):
+        for door in self.doors_by_id.values():
+            await self._serve(door)
+        await super().__aenter__()
+        self.hosts_by_id = {'host-1': self.parts}
+        for host_id in list(self.doors_by_id)[1:]:
+            self.hosts_by_id[host_id] = await self.add_host(
+                host_id, peers=test_peering.reserve_address()
+            )
+        self.ranked_ids = sorted(self.hosts_by_id, key=test_peering.relay_rank)
+        await loops.until(self.is_settled, limit_s=10)
+        return self
+
+    def store_port_of(self, host_id):
+        return self.doors_by_id[host_id].port
+
+    def relays_by_id(self):
+        return {
+            host_id: parts.feed_links.relay
+            for host_id, parts in self.hosts_by_id.items()
+        }
+
+    def is_settled(self):
+        """Return whether all hosts follow the first one by rank."""
+        first, *others = self.ranked_ids
+        expected = {first: None, **dict.fromkeys(others, first)}
+        return self.relays_by_id() == expected
+
+    def has_revision(self, host_id, revision):
+        table = self.hosts_by_id[host_id].host._table
+        return table.revision == revision
+
+    async def until_in_force(self, revision):
+        await loops.until(
+            lambda: all(
+                self.has_revision(host_id, revision)
+                for host_id in self.hosts_by_id
+            ),
+            limit_s=CONFIG_APPLY_S - MARGIN_S,
+        )
+
+    def watch_count(self, host_ids):
+        """Return how often hosts have watched the store."""
+        return sum(
+            self.doors_by_id[host_id].calls_by_kind['kv-watch']
+            for host_id in host_ids
+        )
+
+    def totals(self):
+        """Return the probes, watches and dials of all hosts so far."""
+        metrics = [
+            parts.host._metrics.totals_by_name
+            for parts in self.hosts_by_id.values()
+        ]
+        return (
+            sum(totals['host.feed_probes'] for totals in metrics),
+            self.watch_count(self.hosts_by_id),
+            sum(totals['link.connect_failed'] for totals in metrics),
+        )
+
+    def turn_away(self, host_ids, **fault):
+        for host_id in host_ids:
+            for name, setting in fault.items():
+                setattr(self.doors_by_id[host_id], name, setting)
+
+    def serve_again(self):
+        for door in self.doors_by_id.values():
+            door.serve_again()
+
+
+def play(scenario):
+    with (
+        mock.patch.object(discovery, 'ANNOUNCE_INTERVAL_S', 0.1),
+        mock.patch.object(loops, 'TIME_LIMIT_S', 60),
+    ):
+        return hostworld.run_scenario(scenario, TurnedAwayWorld)
+
+
+FAULTS = (
+    {'status': 503},
+    {'status': 429},
+    {'resets': True},
+    {'is_silent': True},
+)
+
+
+class TurnedAwayTest(unittest.TestCase):
+    def check_change_is_in_force(self, chosen_ids, fault):
+        async def scenario(world):
+            world.turn_away(chosen_ids(world.ranked_ids), **fault)
+            world.publish(2, '/search/')
+            await world.until_in_force(2)
+            # The next change comes while the hosts are turned away.
+            await curio.sleep(1)
+            world.publish(3, '/third/')
+            await world.until_in_force(3)
+            return True
+
+        self.assertTrue(play(scenario))
+
+    def test_first_host_by_rank_learns_changes(self):
+        """Guards against a host that only asks the store that refuses it."""
+        for fault in FAULTS:
+            with self.subTest(**fault):
+                self.check_change_is_in_force(lambda ranked: ranked[:1], fault)
+
+    def test_most_hosts_learn_changes_from_the_last_one(self):
+        """Guards against hosts that ask only others that are turned away."""
+        for fault in FAULTS:
+            with self.subTest(**fault):
+                self.check_change_is_in_force(lambda ranked: ranked[:-1], fault)
+
+    def test_random_hosts_learn_changes(self):
+        """Guards against a set of turned-away hosts that was not thought of."""
+        generator = random.Random(20261206)
+
+        def choose(ranked_ids):
+            return generator.sample(ranked_ids, 3)
+
+        for fault in FAULTS:
+            with self.subTest(**fault):
+                self.check_change_is_in_force(choose, fault)
+
+    def test_removed_backend_server_is_dropped(self):
+        """Guards against requests to servers that stopped long ago.
+
+        A host whose calls fail keeps entries that vanish, as they may have
+        expired in an outage. With the feed of another host it must not.
+        """
+
+        async def scenario(world):
+            refused_id = world.ranked_ids[0]
+            world.turn_away([refused_id], status=503)
+            parts = world.hosts_by_id[refused_id]
+            await loops.until(lambda: parts.feed_links.relay, limit_s=5)
+            world.store.remove('servers/a0')
+            await loops.until(
+                lambda: parts.host.directory.usable('a') == ('a1',), limit_s=5
+            )
+            return True
+
+        self.assertTrue(play(scenario))
+
+    def test_recovered_host_is_the_relay_again(self):
+        """Guards against groups that stay split after the store recovers."""
+
+        async def scenario(world):
+            world.turn_away(world.ranked_ids[:2], status=503)
+            world.publish(2, '/search/')
+            await world.until_in_force(2)
+            world.serve_again()
+            await loops.until(world.is_settled, changefeed.AVOIDED_S + 5)
+            world.publish(3, '/third/')
+            await world.until_in_force(3)
+            return True
+
+        self.assertTrue(play(scenario))
+
+    def test_host_with_a_usual_relay_makes_no_calls(self):
+        """Guards against calls of refused hosts that need none."""
+
+        async def scenario(world):
+            refused_ids = world.ranked_ids[2:]
+            world.turn_away(refused_ids, status=503)
+            world.turn_away(world.ranked_ids[:1], is_silent=True)
+            await loops.until(
+                lambda: all(
+                    world.relays_by_id()[host_id] == world.ranked_ids[1]
+                    for host_id in refused_ids
+                ),
+                limit_s=10,
+            )
+            watches = world.watch_count(refused_ids)
+            await curio.sleep(2)
+            return world.watch_count(refused_ids) - watches
+
+        self.assertEqual(play(scenario), 0)
+
+    def test_outage_for_all_hosts_causes_few_messages(self):
+        """Guards against a storm of calls and messages in an outage."""
+        span_s = 4.0
+
+        async def scenario(world):
+            world.turn_away(world.hosts_by_id, status=503)
+            await curio.sleep(changefeed.MAX_AGE_S + 1)
+            before = world.totals()
+            await curio.sleep(span_s)
+            return [
+                (after - earlier) / span_s / HOSTS
+                for earlier, after in zip(before, world.totals(), strict=True)
+            ]
+
+        probes, watches, dials = play(scenario)
+        self.assertLessEqual(
+            probes, changefeed.PROBES_PER_ROUND / changefeed.PROBE_INTERVAL_S
+        )
+        self.assertLessEqual(watches, 1 / discovery.RETRY_MINIMUM_S)
+        self.assertEqual(dials, 0)
+
+    def test_single_failed_call_replaces_no_relay(self):
+        """Guards against a group that moves at each failed call."""
+
+        async def scenario(world):
+            first_id = world.ranked_ids[0]
+            world.turn_away([first_id], status=503)
+            door = world.doors_by_id[first_id]
+            failing = world.hosts_by_id[first_id].feed_links
+            await loops.until(lambda: failing._failing_since, limit_s=5)
+            door.serve_again()
+            moved = set()
+            for _ in range(20):
+                moved.add(world.is_settled())
+                await curio.sleep(0.1)
+            return moved
+
+        self.assertEqual(play(scenario), {True})
+
+
+if __name__ == '__main__':
+    unittest.main()
