Send nothing to the backend servers of an evacuated zone

The key op/evacuate/ZONE asks that a zone's backend servers get nothing until it is removed. Nothing read it before.

The directory leaves these backend servers out of the usable ones, so first attempts, queued work, retries, hedges and handed-over parts avoid them. The key comes with the watch and the feed; a host that reads lists reads op/ as one list in place of the single configuration key, and watches on until the lists are up to date. Evacuations are applied before backend servers. The zone gets no probes. Parts without other replicas are missing at once.

The number of calls of a start is unchanged.

--- a/cardamomflow/backendnotices.py
+++ b/cardamomflow/backendnotices.py
@@ -144,6 +144,8 @@
 
     def _absence_reason(self, service: str, now: float) -> str:
         usable_ids = self._directory.usable(service)
+        if not usable_ids and self._directory.has_withheld(service):
+            return 'backend_servers_evacuated'
         if not usable_ids and self._directory.has_listed(service):
             return 'backend_servers_leaving'
         if usable_ids and self._pauses.remaining_s(usable_ids, now):
--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -1,6 +1,7 @@
 """Backend servers that the platform lists; sans-I/O.
 
-Owns which backend servers of a service may get new work. Entries expire at the
+Owns which backend servers of a service may get new work; those of evacuated
+zones may not. Entries expire at the
 platform during its outages. An entry that is removed then is kept for a short
 time, within which the platform lists its backend server again if it is alive.
 """
@@ -52,6 +53,10 @@
         self._ids_by_service: dict[str, tuple[str, ...]] = {}
         self._held_until_by_id: dict[str, float] = {}
         self._outage_until = float('-inf')
+        # Zones whose backend servers get nothing until this is taken back.
+        self._evacuated_zones: frozenset[str] = frozenset()
+        # Backend servers that would take work outside of an evacuated zone.
+        self._withheld_ids_by_service: dict[str, set[str]] = {}
         self._listed_count_by_service: collections.Counter[str] = (
             collections.Counter()
         )
@@ -62,6 +67,34 @@
         """Return the ids of a service's backend servers that take new work."""
         return self._ids_by_service.get(service, ())
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Zones whose backend servers get nothing more."""
+        return self._evacuated_zones
+
+    def count_in_zone(self, zone: str) -> int:
+        """Return the number of listed backend servers of a zone."""
+        return sum(
+            backend.availability_zone == zone
+            for backend in self.backends_by_id.values()
+        )
+
+    def apply_evacuations(self, zones: Iterable[str]) -> list[Change]:
+        """Set the evacuated zones; return the changed backend servers."""
+        changed_zones = self._evacuated_zones.symmetric_difference(zones)
+        self._evacuated_zones = frozenset(zones)
+        affected = [
+            backend
+            for backend in self.backends_by_id.values()
+            if backend.availability_zone in changed_zones
+            and not self._is_leaving(backend)
+        ]
+        return [self._update_usable(backend) for backend in affected]
+
+    def has_withheld(self, service: str) -> bool:
+        """Return whether an evacuation withholds backend servers."""
+        return bool(self._withheld_ids_by_service.get(service))
+
     def in_zone(self, backend_ids: Iterable[str], zone: str) -> set[str]:
         """Return the given backend servers that are in a zone."""
         return {
@@ -109,12 +142,10 @@
             self._listed_count_by_service[before.service] -= 1
             if before.service != backend.service:
                 self._set_usable(before, usable=False)
-        usable = not self._is_leaving(backend)
-        self._set_usable(backend, usable=usable)
         restarted = (
             before is not None and before.incarnation != backend.incarnation
         )
-        return Change(backend_id, backend.service, usable, restarted)
+        return self._update_usable(backend)._replace(restarted=restarted)
 
     def record_leaving(self, notice: LeavingNotice) -> Change | None:
         """Record that a backend server said in an answer that it is leaving.
@@ -179,6 +210,19 @@
         )
         return backend.leaving or backend.incarnation <= left_incarnation
 
+    def _update_usable(self, backend: register.Backend) -> Change:
+        """Update whether a listed backend server may get new work."""
+        backend_id, service = backend.backend_id, backend.service
+        is_evacuated = backend.availability_zone in self._evacuated_zones
+        takes_work = not self._is_leaving(backend)
+        self._set_usable(backend, usable=takes_work and not is_evacuated)
+        if takes_work and is_evacuated:
+            withheld_ids = self._withheld_ids_by_service.setdefault(
+                service, set()
+            )
+            withheld_ids.add(backend_id)
+        return Change(backend_id, service, takes_work and not is_evacuated)
+
     def _drop(self, backend_id: str) -> Change:
         self._held_until_by_id.pop(backend_id, None)
         backend = self.backends_by_id.pop(backend_id)
@@ -190,6 +234,9 @@
         return Change(backend_id, backend.service, usable=False)
 
     def _set_usable(self, backend: register.Backend, *, usable: bool) -> None:
+        withheld_ids = self._withheld_ids_by_service.get(backend.service)
+        if withheld_ids is not None:
+            withheld_ids.discard(backend.backend_id)
         ids = set(self.usable(backend.service)) - {backend.backend_id}
         if usable:
             ids.add(backend.backend_id)
--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -297,6 +297,13 @@
         """Apply the next changes; return the revision reached."""
         if revision is None:
             changes = await self._source.read()
+            await self._set_evacuated_zones(
+                self._directory.evacuated_zones.intersection(
+                    evacuation.zone
+                    for evacuation in changes.evacuations
+                    if evacuation.is_requested
+                )
+            )
             await self._apply_backend_list(changes.entries)
             self._members_by_id.clear()
             return await self._apply_from_store(changes, None)
@@ -417,6 +424,9 @@
         await self._peers.publish(update)
 
     async def _apply(self, changes: platformsource.Changes) -> None:
+        # Before the backend servers, so that those of an evacuated zone get no
+        # work when this host starts.
+        await self._apply_evacuations(changes.evacuations)
         await self._apply_routes(changes.table)
         applied = [self._apply_backend(entry) for entry in changes.entries]
         await self._report_backends(
@@ -441,6 +451,33 @@
             return RELAY_WAIT_S
         return WATCH_WAIT_S
 
+    async def _apply_evacuations(
+        self, evacuations: Iterable[platformsource.Evacuation]
+    ) -> None:
+        zones = set(self._directory.evacuated_zones)
+        for evacuation in evacuations:
+            if evacuation.is_requested:
+                zones.add(evacuation.zone)
+            else:
+                zones.discard(evacuation.zone)
+        await self._set_evacuated_zones(zones)
+
+    async def _set_evacuated_zones(self, zones: set[str]) -> None:
+        before = self._directory.evacuated_zones
+        if zones == before:
+            return
+        changes = self._directory.apply_evacuations(zones)
+        for zone in sorted(before ^ zones):
+            event = events.Event.EVACUATION_ENDED
+            if zone in zones:
+                event = events.Event.EVACUATION_BEGUN
+            self._journal.warning(
+                event,
+                zone=zone,
+                backend_servers=self._directory.count_in_zone(zone),
+            )
+        await self._listener.on_backends_changed(changes)
+
     async def _apply_hosts(
         self, hosts: list[platformsource.ListedHost]
     ) -> None:
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -39,6 +39,8 @@
     CHANGES_TAKEN = 'changes taken'
     CHANGES_RELAYED = 'changes relayed'
     PLATFORM_REGAINED = 'platform regained'
+    EVACUATION_BEGUN = 'evacuation begun'
+    EVACUATION_ENDED = 'evacuation ended'
     ZONE_SILENT = 'zone silent'
     ZONE_ANSWERS = 'zone answers'
     CUT_OFF = 'cut off'
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -350,6 +350,7 @@
             'platform_age': lambda: self._clock() - self.platform_confirmed_at,
             'known_hosts': lambda: self._host_count,
             'backend_servers': lambda: len(self.directory.backends_by_id),
+            'evacuated_zones': lambda: len(self.directory.evacuated_zones),
             'open_requests': lambda: self.active_requests.count,
         }
         for name, read_value in gauges.items():
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -396,6 +396,12 @@
         '',
         'Backend servers that are listed or kept after a lapse.',
     ),
+    MetricDefinition(
+        'host.evacuated_zones',
+        'host_evacuated_zones',
+        '',
+        'Zones whose backend servers get nothing more.',
+    ),
     MetricDefinition(
         'host.open_requests', 'host_open_requests', '', 'Requests in progress.'
     ),
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -24,6 +24,9 @@
 _NO_LEASE = 0
 # Wait of the watch after a list that may be stale; most are up to date.
 CATCH_UP_WAIT_S = 0.001
+# An answer with this many changes may be followed by more.
+LARGE_PAGE = 20
+MAX_CATCH_UP_CALLS = 10
 
 
 class KvStore(platformsource.Source):
@@ -60,30 +63,43 @@
         host_items, hosts_revision = await self._list(
             wire.HOSTS_PREFIX, allow_stale=1
         )
-        changes = await self.watch(
-            min(revision, hosts_revision), CATCH_UP_WAIT_S
+        operator_items, operator_revision = await self._list(
+            wire.OPERATOR_PREFIX, allow_stale=1
         )
-        return platformsource.Changes(
-            await self._read_routes(),
-            [*_parse_backends(items), *changes.entries],
-            [*_parse_hosts(host_items), *changes.hosts],
-            changes.revision,
+        return await self._catch_up(
+            _parse_lists(
+                [*items, *host_items, *operator_items],
+                min(revision, hosts_revision, operator_revision),
+            )
         )
 
+    async def _catch_up(
+        self, lists: platformsource.Changes
+    ) -> platformsource.Changes:
+        """Return lists with the changes since their revision."""
+        for _ in range(MAX_CATCH_UP_CALLS):
+            changes = await self.watch(lists.revision, CATCH_UP_WAIT_S)
+            lists = platformsource.Changes(
+                changes.table or lists.table,
+                [*lists.entries, *changes.entries],
+                [*lists.hosts, *changes.hosts],
+                changes.revision,
+                evacuations=[*lists.evacuations, *changes.evacuations],
+            )
+            if len(changes.entries) + len(changes.hosts) < LARGE_PAGE:
+                break
+        return lists
+
     async def _read_current(self) -> platformsource.Changes:
         # Later pages, the hosts and the routes may be newer than the first
         # page. Watching starts at the revision of the first page, so it
         # delivers every change made during the read.
         items, revision = await self._list(wire.BACKENDS_PREFIX)
         host_items, _ = await self._list(wire.HOSTS_PREFIX)
+        operator_items, _ = await self._list(wire.OPERATOR_PREFIX)
         if all(item.get('key') != self._own_key for item in host_items):
             self._record_vanished()
-        return platformsource.Changes(
-            await self._read_routes(),
-            _parse_backends(items),
-            _parse_hosts(host_items),
-            revision,
-        )
+        return _parse_lists([*items, *host_items, *operator_items], revision)
 
     async def watch(
         self, revision: int, wait_s: float
@@ -121,6 +137,7 @@
             hosts,
             _int_field(document, 'as_of'),
             content,
+            _parse_evacuations(events),
         )
 
     async def announce_host(
@@ -206,12 +223,6 @@
             items.extend(page)
         return items, revision
 
-    async def _read_routes(self) -> routes.RouteTable | None:
-        reply = await self._get('kv-key', key=wire.CONFIGURATION_KEY)
-        if reply.status == http.HTTPStatus.NOT_FOUND:
-            return None
-        return documents.parse_routes(_decode_value(reply.json()))
-
     async def _get(self, endpoint: str, **query: Any) -> webclient.Reply:
         return await self._channel.read(_build_target(endpoint, **query))
 
@@ -220,6 +231,32 @@
     return f'/api/{endpoint}?{urllib.parse.urlencode(query)}'
 
 
+def _parse_lists(
+    items: list[dict[str, Any]], revision: int
+) -> platformsource.Changes:
+    """Return listed items as changes that lead to a revision."""
+    return platformsource.Changes(
+        _newest_routes(items),
+        _parse_backends(items),
+        _parse_hosts(items),
+        revision,
+        evacuations=_parse_evacuations(items),
+    )
+
+
+def _parse_evacuations(
+    items: list[dict[str, Any]],
+) -> list[platformsource.Evacuation]:
+    return [
+        platformsource.Evacuation(
+            str(item['key']).removeprefix(wire.EVACUATION_PREFIX),
+            not item.get('removed'),
+        )
+        for item in items
+        if str(item.get('key', '')).startswith(wire.EVACUATION_PREFIX)
+    ]
+
+
 def _newest_routes(events: list[dict[str, Any]]) -> routes.RouteTable | None:
     """Return the newest routes in a list of events, None without any."""
     table = None
--- a/cardamomflow/platform/wire.py
+++ b/cardamomflow/platform/wire.py
@@ -31,6 +31,9 @@
 CONFIGURATION_KEY = 'op/config'
 BACKENDS_PREFIX = 'servers/'
 HOSTS_PREFIX = 'hosts/'
+OPERATOR_PREFIX = 'op/'
+# Followed by the zone whose backend servers get nothing more.
+EVACUATION_PREFIX = 'op/evacuate/'
 
 LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
--- a/cardamomflow/platformsource.py
+++ b/cardamomflow/platformsource.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cardamomflow import ownership, register, routes
@@ -43,6 +44,20 @@
     member: ownership.Member | None
 
 
+class Evacuation(NamedTuple):
+    """Whether the backend servers of a zone must get nothing more.
+
+    Attributes
+    ----------
+    zone : str
+    is_requested : bool
+        False when the request was taken back.
+    """
+
+    zone: str
+    is_requested: bool
+
+
 class Changes(NamedTuple):
     """All entries of the platform, or those that have changed.
 
@@ -57,6 +72,8 @@
         Revision from which to watch next.
     content : bytes
         The same changes in the platform's format, for `Source.parse`.
+    evacuations : sequence of Evacuation
+        In the order of their revisions.
     """
 
     table: routes.RouteTable | None
@@ -64,6 +81,7 @@
     hosts: list[ListedHost]
     revision: int
     content: bytes = b''
+    evacuations: Sequence[Evacuation] = ()
 
 
 class Source(abc.ABC):
--- a/cardamomflow/reachability.py
+++ b/cardamomflow/reachability.py
@@ -49,6 +49,11 @@
             sent_at_by_id.clear()
         return self._silent_since_by_zone.pop(zone, None) is not None
 
+    def forget(self, zone: str) -> None:
+        """Drop what is known about a zone that gets no more requests."""
+        self._request_times_by_zone.pop(zone, None)
+        self._silent_since_by_zone.pop(zone, None)
+
     def check(self, now: float) -> list[str]:
         """Return the zones that are suspected to be silent.
 
--- a/cardamomflow/zonewatch.py
+++ b/cardamomflow/zonewatch.py
@@ -54,6 +54,9 @@
         """Detect zones that stop and resume answering, until cancelled."""
         while True:
             await curio.sleep(ZONE_CHECK_S)
+            for evacuated_zone in self._directory.evacuated_zones:
+                # It gets no probes either.
+                self._reachability.forget(evacuated_zone)
             suspects = self._reachability.check(self._clock())
             suspects.extend(self._reachability.silent_zones)
             for zone in set(suspects):
