Queue requests fairly by account, and refuse those that come too late

A service's queue was by rank and arrival, so an account that flooded a service made all others wait. The queue is now start-time fair within a rank, with rate_per_s as weight. A request whose turn comes after its deadline is refused at once with 503 deadline_unreachable when nothing of it was sent; only where there are accounts.

--- a/cardamomflow/accounts/table.py
+++ b/cardamomflow/accounts/table.py
@@ -8,6 +8,9 @@
 
 from cardamomflow import rules
 
+# Weight of accounts without a limit, and of requests without an account.
+DEFAULT_WEIGHT = 1.0
+
 
 class Account(NamedTuple):
     """A client account and its limits.
@@ -33,6 +36,11 @@
         """Whether the account has a limit."""
         return self.rate_per_s > 0
 
+    @property
+    def weight(self) -> float:
+        """Share of the account among queued requests, relative to others."""
+        return self.rate_per_s if self.is_limited else DEFAULT_WEIGHT
+
 
 class AccountTable:
     """The client accounts of one configuration.
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -6,12 +6,9 @@
 no clock.
 """
 
-import heapq
-import itertools
 import math
 import random as random_module
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
 from cardamomflow import (
     backendnotices,
@@ -26,6 +23,7 @@
     requeststate,
     routes,
     rules,
+    servicequeues,
 )
 
 # A hedge that starts after this share of the target would miss the target.
@@ -37,12 +35,6 @@
 _MS_PER_S = 1000
 
 
-class _QueuedSubrequest(NamedTuple):
-    rank: rules.Rank
-    sequence: int
-    subrequest: requeststate.Subrequest
-
-
 class Dispatcher:
     """Chooses backend servers for the requests of one host."""
 
@@ -76,17 +68,17 @@
         self.occupancy = occupancy.Occupancy()
         self.reachability = reachability.Reachability()
         self._budgets = extraload.ServiceBudgets()
-        self._queues_by_service: dict[str, list[_QueuedSubrequest]] = {}
+        self._queues = servicequeues.ServiceQueues()
         # Services whose parts may be requested from other hosts.
         self.handed_over_services: frozenset[str] = frozenset()
         self._table: routes.RouteTable | None = None
         self._sharing = extraload.FleetBudget(1, 0, 0)
-        self._sequence = itertools.count()
         self._new_attempts: list[requeststate.Attempt] = []
 
     def apply(self, table: routes.RouteTable) -> None:
         """Apply the routes of a new revision."""
         self._table = table
+        self._queues.refuses_early = bool(table.accounts)
         self._budgets.retain(table.services())
         self.update_sharing(self._sharing)
 
@@ -133,14 +125,16 @@
     def start(self, work: requeststate.Work, now: float) -> None:
         """Send a subrequest to one backend server of each service.
 
-        Nothing is sent when too few services can be reached. Parts that are
-        handed over are left to the other hosts.
+        Nothing is sent when too few services can be reached in time. Parts
+        that are handed over are left to the other hosts.
         """
         services = [subrequest.service for subrequest in work.subrequests]
         if not self.can_serve(services, work.needed, now):
             for unserved in work.subrequests:
                 self.notices.mark_unserved(unserved, now)
             return
+        if self._queues.refuse_unreachable(work, now):
+            return
         for subrequest in work.subrequests:
             if subrequest.handover is None:
                 self._budgets.for_service(
@@ -286,6 +280,8 @@
         self._chooser.record_end(backend_id, outcome, latency_s, now)
         if outcome is limits.CallOutcome.SUCCESS:
             self._hedges.observe(attempt.subrequest.work.route.name, latency_s)
+            service = attempt.subrequest.service
+            self._queues.record_duration(service, latency_s, now)
 
     # Placement of attempts.
 
@@ -299,7 +295,7 @@
                 self.notices.mark_unserved(subrequest, now)
             return
         if not self._send(subrequest, candidates, now):
-            self._enqueue(subrequest)
+            self._queues.push(subrequest, now)
 
     def _retry(
         self, subrequest: requeststate.Subrequest, reason: str, now: float
@@ -314,7 +310,7 @@
                 and self._budgets.for_service(subrequest.service).withdraw()
             ):
                 if not self._send(subrequest, candidates, now):
-                    self._enqueue(subrequest)
+                    self._queues.push(subrequest, now)
                 return
         subrequest.work.mark_failed(subrequest, reason)
 
@@ -399,28 +395,22 @@
 
     # Queues.
 
-    def _enqueue(self, subrequest: requeststate.Subrequest) -> None:
-        subrequest.is_queued = True
-        heapq.heappush(
-            self._queues_by_service.setdefault(subrequest.service, []),
-            _QueuedSubrequest(
-                subrequest.work.rank, next(self._sequence), subrequest
-            ),
-        )
-
     def _send_queued(self, service: str, now: float) -> None:
         """Send queued subrequests while backend servers are free."""
-        queue = self._queues_by_service.get(service)
-        while queue:
-            subrequest = queue[0].subrequest
-            if not subrequest.is_settled:
-                candidates = self._candidates(subrequest, now)
-                if candidates and not self._send(subrequest, candidates, now):
-                    return
-                if not subrequest.open_attempts:
-                    self.notices.mark_unserved(subrequest, now)
-            heapq.heappop(queue)
+        queue = self._queues.find(service)
+        subrequest = queue.first() if queue else None
+        while queue and subrequest:
+            candidates = self._candidates(subrequest, now)
+            is_sent = bool(candidates) and self._send(
+                subrequest, candidates, now
+            )
+            if candidates and not is_sent:
+                return
+            queue.pop(now, is_served=is_sent)
             subrequest.is_queued = False
+            if not subrequest.open_attempts:
+                self.notices.mark_unserved(subrequest, now)
+            subrequest = queue.first()
 
 
 def _may_hedge(subrequest: requeststate.Subrequest) -> bool:
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -452,7 +452,11 @@
     reason = ', '.join(sorted(reasons)) or 'no answer in time'
     match ending:
         case requeststate.Ending.NOT_RUN:
-            raise errors.NoReplica(reason, retry_after_s=retry_delay_s)
+            is_late = reasons == {errors.DeadlineUnreachable.code}
+            error_type = (
+                errors.DeadlineUnreachable if is_late else errors.NoReplica
+            )
+            raise error_type(reason, retry_after_s=retry_delay_s)
         case requeststate.Ending.FAILED:
             raise errors.BackendFailed(reason)
         case requeststate.Ending.LATE:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -1,5 +1,6 @@
 """Client accounts: parsing, API keys, and what sees them."""
 
+import collections
 import json
 import time
 import unittest
@@ -11,9 +12,11 @@
 from cardamomflow import (
     delegatedparts,
     errors,
+    hosting,
     journal,
     links,
     requeststate,
+    routes,
     rules,
 )
 from cardamomflow.accounts import authentication, table
@@ -178,6 +181,68 @@
         self.assertIs(delegated.rank, rules.Rank.BULK)
 
 
+class EarlyRefusalTest(unittest.TestCase):
+    """One account floods a service whose servers take 0.1 s for a request."""
+
+    def flood(self, accounts):
+        """Return the requests of the flood, and one of another account."""
+        world = test_dispatching.World(('a',), connections=1)
+        world.dispatcher.apply(
+            routes.RouteTable(
+                2, [], {'a': 1}, routes.Limits(1, 1, 1, 1), accounts
+            )
+        )
+        flood = []
+        other = None
+        sent = collections.deque()
+        for step in range(200):
+            now = step / 100
+            while sent and sent[0].started_at <= now - 0.1:
+                world.dispatcher.on_reply(
+                    sent.popleft(), test_dispatching.reply(), now
+                )
+                sent.extend(world.send_attempts())
+            if step == 150:
+                other = self.start(world, 'beta', now)
+            flood.append(self.start(world, 'alpha', now))
+            sent.extend(world.send_attempts())
+        return flood, other
+
+    def start(self, world, name, now):
+        work = requeststate.Work(
+            test_dispatching.make_payment(),
+            ('a',),
+            None,
+            now,
+            requeststate.TimeBudget(1),
+            table.Account(name),
+        )
+        world.dispatcher.start(work, now)
+        return work
+
+    def reasons(self, works):
+        return {work.subrequests[0].failure_reason for work in works}
+
+    def test_request_whose_turn_comes_too_late_is_refused_at_once(self):
+        """Guards against a refusal at the deadline, and one of others."""
+        flood, other = self.flood(parse(ALPHA, BETA))
+        refused = [work for work in flood if work.failed_count]
+        self.assertGreater(len(refused), 50)
+        self.assertEqual(self.reasons(refused), {'deadline_unreachable'})
+        for work in refused:
+            self.assertEqual(work.subrequests[0].attempts, [])
+            self.assertIs(work.end(), requeststate.Ending.NOT_RUN)
+            with self.assertRaises(errors.DeadlineUnreachable):
+                hosting._raise_failure(work, requeststate.Ending.NOT_RUN, 1)
+        self.assertEqual(other.answered_count, 1)
+        self.assertLess(other.subrequests[0].attempts[0].started_at, 1.7)
+
+    def test_without_accounts_nothing_is_refused_early(self):
+        """Guards against refusals in deployments without accounts."""
+        flood, other = self.flood(table.NO_ACCOUNTS)
+        self.assertEqual(self.reasons([*flood, other]), {None})
+
+
 class AccountWorld(hostworld.HostWorld):
     """A host with two accounts and a public route."""
 
