Count requests and refusals by account, and bound the cost of accounts

Operators could not tell which account a refusal concerned. Two counters name the 100 largest accounts and count the rest as other.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -30,6 +30,7 @@
     webserver,
 )
 from cardamomflow import settings as settings_module
+from cardamomflow.accounts import counters
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import front
 
@@ -197,7 +198,8 @@
     settings = process_context.settings
     program = hosting.Host(process_context)
     server = webserver.WebServer(
-        *authorities.split(settings['callers']), front.CallerHandler(program)
+        *authorities.split(settings['callers']),
+        front.CallerHandler(program, _create_counters(process_context)),
     )
     readiness = webserver.WebServer(
         *authorities.split(settings['readiness']),
@@ -243,6 +245,17 @@
     )
 
 
+def _create_counters(
+    process_context: context.Context,
+) -> counters.AccountCounters:
+    """Create the counters by account, which the metrics page reads."""
+    created = counters.AccountCounters()
+    metrics = process_context.metrics
+    metrics.register_rows('account.requests', created.requests)
+    metrics.register_rows('account.refused', created.refusals)
+    return created
+
+
 async def run_host(
     process_context: context.Context,
     store: platformsource.Source,
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -18,7 +18,8 @@
         Name on the metrics page, without the prefix, with the unit. The
         exposition appends `_total` to the names of counters.
     label : str
-        Name of the label; empty if there is none.
+        Name of the label; empty if there is none. Several are separated by
+        commas.
     help_text : str
     """
 
@@ -41,6 +42,19 @@
         'code',
         'Refused or failed requests by error code.',
     ),
+    MetricDefinition(
+        'account.requests',
+        'account_requests',
+        'account',
+        'Requests of a host with a valid key, for the 100 largest accounts;'
+        ' others are `other`.',
+    ),
+    MetricDefinition(
+        'account.refused',
+        'account_refused_requests',
+        'account,code',
+        'Requests of accounts that were refused and not run.',
+    ),
     MetricDefinition(
         'host.attempts',
         'host_failed_attempts',
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from cardamomflow import errors, requeststate, routes, webhandler
-from cardamomflow.accounts import table
+from cardamomflow.accounts import counters, table
 from cardamomflow.platform import backendlink, wire
 
 _OK = 200
@@ -88,8 +88,13 @@
 class CallerHandler(webhandler.RequestHandler):
     """Answers requests of callers."""
 
-    def __init__(self, application: Application) -> None:
+    def __init__(
+        self,
+        application: Application,
+        account_counters: counters.AccountCounters,
+    ) -> None:
         self._application = application
+        self._account_counters = account_counters
 
     def record_failure(self, error: errors.FlowError) -> None:
         """Record a failed request."""
@@ -101,28 +106,27 @@
         if self._application.has_accounts:
             key, request = _take_key(request)
         headers = request.headers
-        host_parts = headers.get('host', '').rpartition(':')
         request_id = headers.get(wire.REQUEST_ID.decode())
         if request_id is None:
             raise errors.BadRequest('the request has no x-request-id header')
         try:
             route = self._application.route(
-                (host_parts[0] or host_parts[2]).lower(),
-                request.path.partition('?')[0],
+                _host_name(headers), request.path.partition('?')[0]
             )
             account = self._application.authenticate(route, key)
         except errors.FlowError as error:
             self._application.record_refusal(request_id, error)
             raise
-        work = await self._application.answer(
-            route,
-            _backend_message(request, request_id, account),
-            requeststate.TimeBudget(
-                _caller_timeout_s(headers),
-                CONNECT_TIME_S if request.is_first else 0,
-            ),
-            account,
-        )
+        with self._account_counters.counting(account):
+            work = await self._application.answer(
+                route,
+                _backend_message(request, request_id, account),
+                requeststate.TimeBudget(
+                    _caller_timeout_s(headers),
+                    CONNECT_TIME_S if request.is_first else 0,
+                ),
+                account,
+            )
         if route.merges_answers:
             return _merged_response(work)
         reply = work.subrequests[0].reply or work.subrequests[0].error_reply
@@ -148,6 +152,12 @@
         return webhandler.Response(_OK, {'ready': True})
 
 
+def _host_name(headers: dict[str, str]) -> str:
+    """Return the host name of a request without its port, in lower case."""
+    parts = headers.get('host', '').rpartition(':')
+    return (parts[0] or parts[2]).lower()
+
+
 def _caller_timeout_s(headers: dict[str, str]) -> float:
     """Return the remaining time of a caller; infinite without a number."""
     timeout_ms = headers.get(wire.DEADLINE.decode(), '')
--- a/cardamomflow/telemetry.py
+++ b/cardamomflow/telemetry.py
@@ -13,6 +13,8 @@
 from cardamomflow import metricdefinitions
 
 PREFIX = 'cardamomflow_'
+# Label values and the total of one row of a counter.
+Row = tuple[tuple[str, ...], float]
 _UNLISTED = metricdefinitions.MetricDefinition(
     '', 'unlisted_events', 'name', 'Not in the table.'
 )
@@ -32,6 +34,7 @@
         """Create the metrics with all counters at zero."""
         self.totals_by_name: collections.Counter[str] = collections.Counter()
         self._readers_by_name: dict[str, Callable[[], float]] = {}
+        self._row_readers_by_name: dict[str, Callable[[], Iterable[Row]]] = {}
         self._registry = registry.CollectorRegistry()
         self._durations_by_name = {
             definition.name: prometheus_client.Histogram(
@@ -57,6 +60,16 @@
         """Read a gauge from a function each time the metrics are rendered."""
         self._readers_by_name[name] = read
 
+    def register_rows(
+        self, name: str, read: Callable[[], Iterable[Row]]
+    ) -> None:
+        """Read the rows of a counter each time the metrics are rendered.
+
+        For counters whose label values are not known in advance. The function
+        bounds their number.
+        """
+        self._row_readers_by_name[name] = read
+
     def observe(self, name: str, label: str, duration_s: float) -> None:
         """Add a duration in seconds to a histogram."""
         self._durations_by_name[name].labels(label).observe(duration_s)
@@ -80,6 +93,16 @@
             )
             family.add_metric(labels, total)
         yield from families.values()
+        for name, read_rows in self._row_readers_by_name.items():
+            definition = _COUNTERS_BY_NAME[name]
+            counter = metrics_core.CounterMetricFamily(
+                f'{PREFIX}{definition.exposed_name}',
+                definition.help_text,
+                labels=definition.label.split(','),
+            )
+            for labels, total in read_rows():
+                counter.add_metric(labels, total)
+            yield counter
         for name, read in self._readers_by_name.items():
             definition = _GAUGES_BY_NAME[name]
             yield metrics_core.GaugeMetricFamily(
