Show two client accounts at the end of the demo

The demo runs the own programs only. It now starts a host process against the stand-in of the store and shows that an unknown key is refused, that a key gives the name of its account to the backend server, and that no key is passed on.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -6,12 +6,13 @@
 """
 
 import copy
+import http
 import json
 import sys
 import time
 from typing import Any
 
-from standins import fleet, verify
+from standins import accountdemo, fleet, verify
 
 _CONFIGURATION_TIMEOUT_S = 5.0
 _HTTP_OK = 200
@@ -187,6 +188,28 @@
             _check(status == 0, f'{name} ended by itself')
 
 
+def _show_accounts() -> None:
+    _say('Two client accounts on a host process')
+    outcome = accountdemo.run()
+    _check(
+        (outcome.unknown_status, outcome.unknown_code)
+        == (http.HTTPStatus.UNAUTHORIZED, 'unknown_key'),
+        'an unknown key is refused with 401 unknown_key',
+    )
+    for name, status in outcome.statuses_by_account.items():
+        _check(status == _HTTP_OK, f'a request of {name} is answered')
+    names = [headers.get('x-tenant') for headers in outcome.received]
+    _check(
+        names == list(accountdemo.KEYS_BY_ACCOUNT),
+        'the backend server got the names of the accounts',
+    )
+    shown = f'{outcome.received} {outcome.log}'
+    _check(
+        not any(key in shown for key in accountdemo.KEYS_BY_ACCOUNT.values()),
+        'neither the backend server nor the log of the host got a key',
+    )
+
+
 def main() -> int:
     """Run the demo."""
     _say('Starting all programs; aggregators join after 10 s')
@@ -200,6 +223,7 @@
             _show_configuration(running)
             _show_trace(running)
             _show_stop(running)
+        _show_accounts()
     except (CheckError, fleet.FleetError) as error:
         _say(f'FAILED: {error}')
         return 1
