--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -136,7 +136,7 @@
 
 
 class NotReady(Overloaded):
-    """The process has no configuration or no members yet."""
+    """The process has no configuration or members yet, or too old ones."""
 
     code = 'not_ready'
     status = http.HTTPStatus.SERVICE_UNAVAILABLE
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -395,6 +395,33 @@
         for output in (*outputs, lines):
             self.assertNotIn(KEY, str(output))
 
+    def test_owner_of_parts_queues_with_its_own_limits(self):
+        """Guards against an owner that gives every account one weight."""
+
+        async def scenario(world):
+            accounts = []
+
+            async def run_parts(work, report):
+                accounts.append(work.account)
+                return requeststate.Ending.NOT_RUN
+
+            with mock.patch.object(
+                world.host.active_requests, 'run_parts', run_parts
+            ):
+                for name in ('alpha', 'new'):
+                    work = delegatedparts.DelegatedWork(
+                        test_dispatching.make_route(),
+                        backendlink.Message(b'GET', b'/x', [], b'', b'r1'),
+                        0,
+                        1,
+                        table.Account(name),
+                    )
+                    await world.host.serve_parts(work, None, 'host-2')
+            return [(account.name, account.weight) for account in accounts]
+
+        weights = self.run_scenario(scenario)
+        self.assertEqual(weights, [('alpha', 9.5), ('new', 1)])
+
     def test_rank_of_the_account_replaces_that_of_the_route(self):
         """Guards against metrics and queues with the rank of the route."""
 
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -26,7 +26,8 @@
 in its settings, in the format that Prometheus reads; without the setting it
 listens nowhere. Names carry the unit. Every counter is also in `GET
 /v1/status` of an entry, under its short name. Label values are members of
-enumerations or error codes, so their number is bounded.
+enumerations, error codes or the names of at most 100 client accounts, so their
+number is bounded.
 
 Made from `cardamomflow/metricdefinitions.py` by `make generate`. statsd is not
 used any more: nothing here read what was sent, and the agent never sent
