Relay the configuration between hosts without API keys

The change feed relayed the store's answers as they were, so the keys of all accounts went to other processes once the configuration contained accounts. A watch's content now has digests in place of keys, and hosts look keys up by digest. A key that was found once is remembered, which saves the digest.

--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -59,29 +59,34 @@
     return best / repetitions * _US
 
 
-def _measure_table_mb(content: bytes) -> float:
-    """Return the memory of the accounts of a configuration."""
+def _measure_table_mb(content: bytes, keys: list[str]) -> float:
+    """Return the memory of the accounts when all keys were used."""
+    encoded = [key.encode() for key in keys]
     tracemalloc.start()
-    try:
-        table = documents.parse_routes(content)
-        with_accounts, _ = tracemalloc.get_traced_memory()
-        del table
-        without, _ = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
+    table = documents.parse_routes(content)
+    for key in encoded:
+        table.accounts.find(key.decode())
+    with_accounts, _ = tracemalloc.get_traced_memory()
+    del table
+    without, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
     return (with_accounts - without) / _MB
 
 
-def _measure_lookup_us(content: bytes, keys: list[str]) -> float:
+def _measure_lookup_us(
+    content: bytes, keys: list[str], *, known: bool
+) -> float:
     accounts = documents.parse_routes(content).accounts
     # New strings have no cached hash, as those read from a connection.
     generator = random.Random(2)  # noqa: S311  # not used for secrets
     encoded = [generator.choice(keys).encode() for _ in range(REPETITIONS)]
+    if not known:
+        encoded = [key.upper() for key in encoded]
 
     def look_up() -> None:
         for key in encoded:
             authentication.authenticate(
-                accounts, key.decode(), 1, is_public=False
+                accounts, key.decode(), 1, is_public=not known
             )
 
     return _processor_us(REPETITIONS, look_up)
@@ -114,15 +119,23 @@
     return [
         result.Result(
             'accounts.lookup',
-            _measure_lookup_us(content, keys),
+            _measure_lookup_us(content, keys, known=True),
             'us for each request',
             MAX_LOOKUP_US,
             'at_most',
             size,
         ),
+        result.Result(
+            'accounts.lookup_unknown',
+            _measure_lookup_us(content, keys, known=False),
+            'us for each request with an unknown key',
+            MAX_LOOKUP_US,
+            'at_most',
+            size,
+        ),
         result.Result(
             'accounts.table',
-            _measure_table_mb(content),
+            _measure_table_mb(content, keys),
             'MB',
             MAX_TABLE_MB,
             'at_most',
--- a/cardamomflow/accounts/table.py
+++ b/cardamomflow/accounts/table.py
@@ -1,8 +1,10 @@
 """Client accounts of one configuration, found by API key; immutable, no I/O.
 
-A key is a secret: no object here includes one in its representation.
+A key is a secret: tables are made of digests, and no representation of an
+object here includes a key.
 """
 
+import hashlib
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -57,6 +59,7 @@
         accounts: Iterable[Account] = (),
         accounts_by_key: Mapping[str, Account] | None = None,
         problems: Iterable[str] = (),
+        accounts_by_digest: Mapping[bytes, Account] | None = None,
     ) -> None:
         """Index the accounts.
 
@@ -66,10 +69,16 @@
         accounts_by_key : mapping of str to Account, optional
             API keys, each with its only holder.
         problems : iterable of str, optional
+        accounts_by_digest : mapping of bytes to Account, optional
+            Digests of further keys.
         """
         self.accounts_by_name = {account.name: account for account in accounts}
         self.problems = tuple(problems)
-        self._accounts_by_key = dict(accounts_by_key or {})
+        self._accounts_by_digest = dict(accounts_by_digest or {})
+        # Keys that were found before, which saves the time of their digest.
+        self._accounts_by_used_key: dict[str, Account] = {}
+        for key, account in (accounts_by_key or {}).items():
+            self._accounts_by_digest[digest(key)] = account
 
     def __bool__(self) -> bool:
         """Return whether requests need an API key.
@@ -81,49 +90,62 @@
 
     def find(self, key: str) -> Account | None:
         """Return the account that holds a key."""
-        return self._accounts_by_key.get(key)
+        account = self._accounts_by_used_key.get(key)
+        if account is None:
+            account = self._accounts_by_digest.get(digest(key))
+            if account is not None:
+                self._accounts_by_used_key[key] = account
+        return account
 
 
 NO_ACCOUNTS = AccountTable()
 
 
+def digest(key: str) -> bytes:
+    """Return the digest of a key."""
+    return hashlib.blake2s(key.encode('utf-8', 'surrogatepass')).digest()
+
+
 def create_table(
-    keys_by_account: Iterable[tuple[Account, Iterable[str]]],
+    digests_by_account: Iterable[tuple[Account, Iterable[bytes]]],
     problems: Iterable[str] = (),
 ) -> AccountTable:
-    """Return the table of accounts and their keys.
+    """Return the table of accounts and the digests of their keys.
 
     Of several accounts with one name, the first is kept. A key that several
     accounts hold belongs to none of them.
 
     Parameters
     ----------
-    keys_by_account : iterable of (Account, iterable of str)
+    digests_by_account : iterable of (Account, iterable of bytes)
     problems : iterable of str, optional
         Problems that were found before.
     """
     found_problems = list(problems)
     accounts_by_name: dict[str, Account] = {}
-    accounts_by_key: dict[str, Account] = {}
-    holders_by_key: dict[str, list[str]] = {}
-    for account, keys in keys_by_account:
+    holders_by_digest: dict[bytes, list[Account]] = {}
+    for account, digests in digests_by_account:
         if account.name in accounts_by_name:
             found_problems.append(f'second account {account.name!r}: skipped')
             continue
         accounts_by_name[account.name] = account
-        for key in frozenset(keys):
-            first_holder = accounts_by_key.setdefault(key, account)
-            if first_holder is not account:
-                holders_by_key.setdefault(key, [first_holder.name]).append(
-                    account.name
-                )
-    for key in holders_by_key:
-        del accounts_by_key[key]
-    shared_by = sorted(set(map(tuple, holders_by_key.values())))
+        for key_digest in frozenset(digests):
+            holders_by_digest.setdefault(key_digest, []).append(account)
+    shared_by = {
+        tuple(account.name for account in holders)
+        for holders in holders_by_digest.values()
+        if len(holders) > 1
+    }
     found_problems.extend(
         f'key of several accounts, ignored: {", ".join(map(repr, names))}'
-        for names in shared_by
+        for names in sorted(shared_by)
     )
     return AccountTable(
-        accounts_by_name.values(), accounts_by_key, found_problems
+        accounts_by_name.values(),
+        problems=found_problems,
+        accounts_by_digest={
+            key_digest: holders[0]
+            for key_digest, holders in holders_by_digest.items()
+            if len(holders) == 1
+        },
     )
--- a/cardamomflow/platform/documents.py
+++ b/cardamomflow/platform/documents.py
@@ -33,6 +33,9 @@
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 _LOWEST_RANK = max(rules.Rank)
+# Field of an account in a configuration that hosts relay to each other.
+_DIGESTS = 'api_key_digests'
+_KEPT_FIELDS = frozenset(('name', 'priority', 'rate_per_s', 'burst'))
 
 
 def parse_routes(content: bytes) -> routes.RouteTable:
@@ -51,6 +54,23 @@
         ) from None
 
 
+def replace_keys(content: bytes) -> bytes:
+    """Return a configuration with digests in place of the accounts' keys.
+
+    Hosts relay it to each other, and no key may leave a process. The content
+    must be a JSON object; accounts that are malformed stay so.
+    """
+    document = json.loads(content)
+    accounts = document.get('tenants')
+    if not accounts:
+        return content
+    if isinstance(accounts, list):
+        document['tenants'] = list(map(_replace_account_keys, accounts))
+    else:
+        document['tenants'] = [None]
+    return json.dumps(document).encode()
+
+
 def parse_backend(backend_id: str, content: bytes) -> register.Backend | None:
     """Parse the entry of a backend server; None when it is malformed.
 
@@ -130,11 +150,11 @@
         return table.NO_ACCOUNTS
     if not isinstance(documents, list):
         return table.AccountTable(problems=('the accounts are not a list',))
-    keys_by_account = []
+    digests_by_account = []
     problems = []
     for position, document in enumerate(documents):
         try:
-            keys_by_account.append(_parse_account(document))
+            digests_by_account.append(_parse_account(document))
         except _DECODE_ERRORS:
             name = _parse_account_name(document)
             problems.append(
@@ -142,17 +162,15 @@
                 if name is None
                 else f'malformed account {name!r}: skipped'
             )
-    return table.create_table(keys_by_account, problems)
+    return table.create_table(digests_by_account, problems)
 
 
 def _parse_account(
     document: dict[str, Any],
-) -> tuple[table.Account, list[str]]:
-    """Return an account with its keys; raise for a malformed one."""
+) -> tuple[table.Account, list[bytes]]:
+    """Return an account and the digests of its keys; raise if malformed."""
     name = _parse_account_name(document)
-    keys = document['api_keys']
-    are_keys_valid = isinstance(keys, list) and all(map(_is_key, keys))
-    if name is None or not are_keys_valid:
+    if name is None:
         raise ValueError
     priority = document.get('priority')
     if priority is not None and not _is_integer(priority):
@@ -163,7 +181,32 @@
         _parse_amount(document.get('rate_per_s')),
         _parse_amount(document.get('burst')),
     )
-    return account, keys
+    return account, _parse_key_digests(document)
+
+
+def _parse_key_digests(document: dict[str, Any]) -> list[bytes]:
+    """Return the digests of an account's keys.
+
+    A configuration from another host has digests in place of the keys.
+    """
+    if _DIGESTS in document:
+        return [bytes.fromhex(text) for text in document[_DIGESTS]]
+    keys = document['api_keys']
+    if not isinstance(keys, list) or not all(map(_is_key, keys)):
+        raise ValueError
+    return [table.digest(key) for key in keys]
+
+
+def _replace_account_keys(document: Any) -> Any:
+    """Return an account without keys, None if it is malformed."""
+    try:
+        _parse_account(document)
+        digests = _parse_key_digests(document)
+    except _DECODE_ERRORS:
+        name = _parse_account_name(document)
+        return None if name is None else {'name': name}
+    kept = {name: document[name] for name in _KEPT_FIELDS & document.keys()}
+    return {**kept, _DIGESTS: [found.hex() for found in digests]}
 
 
 def _parse_account_name(document: Any) -> str | None:
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -6,6 +6,7 @@
 
 import base64
 import http
+import json
 import urllib.parse
 from typing import Any
 
@@ -120,7 +121,7 @@
             _parse_backends(events),
             hosts,
             _int_field(document, 'as_of'),
-            content,
+            _without_keys(document, content),
         )
 
     async def announce_host(
@@ -230,6 +231,27 @@
     return table
 
 
+def _without_keys(document: dict[str, Any], content: bytes) -> bytes:
+    """Return the content of a watch without the keys of client accounts.
+
+    Other hosts get it. Without a configuration it is returned unchanged.
+    """
+    configurations = [
+        event
+        for event in _list_field(document, 'events')
+        if event.get('key') == wire.CONFIGURATION_KEY
+    ]
+    if not configurations:
+        return content
+    for event in configurations:
+        if event.get('removed'):
+            event.pop('value', None)
+        else:
+            value = documents.replace_keys(_decode_value(event))
+            event['value'] = base64.b64encode(value).decode()
+    return json.dumps(document).encode()
+
+
 def _parse_backends(
     items: list[dict[str, Any]],
 ) -> list[platformsource.ListedBackend]:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -1,5 +1,6 @@
 """Client accounts: parsing, API keys, and what sees them."""
 
+import base64
 import collections
 import json
 import time
@@ -20,7 +21,7 @@
     rules,
 )
 from cardamomflow.accounts import authentication, table
-from cardamomflow.platform import backendlink, documents
+from cardamomflow.platform import backendlink, documents, kvstore
 from standins import users
 from tests import hostworld, loops, test_dispatching
 
@@ -124,6 +125,74 @@
             self.assertNotIn(KEY, caught.exception.message)
 
 
+class RelayTest(unittest.TestCase):
+    """Configurations that hosts relay to each other."""
+
+    def test_relayed_configuration_has_no_key_and_the_same_effect(self):
+        """Guards against keys in messages to other hosts."""
+        for accounts in (
+            [ALPHA, BETA],
+            [ALPHA, {**BETA, 'api_keys': [KEY, 'b']}],
+            [{**ALPHA, 'name': ''}, BETA, None, {**ALPHA, 'burst': -1}],
+            [{'name': KEY.upper(), 'note': KEY, 'api_keys': [KEY, 1]}],
+            {'alpha': KEY},
+            KEY,
+        ):
+            with self.subTest(accounts):
+                document = users.configuration_document(1, [], ['a'])
+                document['tenants'] = accounts
+                content = json.dumps(document).encode()
+                relayed = documents.replace_keys(content)
+                self.assertNotIn(KEY, relayed.decode())
+                # Hosts relay what they got from other hosts.
+                self.assertEqual(documents.replace_keys(relayed), relayed)
+                direct, indirect = (
+                    documents.parse_routes(found).accounts
+                    for found in (content, relayed)
+                )
+                self.assertTrue(indirect)
+                for found in (indirect, direct):
+                    self.assertIsNone(found.find('unknown'))
+                self.assertEqual(
+                    indirect.accounts_by_name, direct.accounts_by_name
+                )
+                self.assertEqual(
+                    indirect._accounts_by_digest, direct._accounts_by_digest
+                )
+                self.assertEqual(len(indirect.problems), len(direct.problems))
+
+    def test_content_of_a_watch_has_no_key(self):
+        """Guards against a feed that carries the store's answer as it is."""
+        store = users.Store()
+        content = json.dumps({'tenants': [ALPHA]}).encode()
+        document = users.configuration_document(1, [], ['a'])
+        store.put('op/config', {**document, 'tenants': [ALPHA]})
+        events = [store._render('op/config')]
+        removed = {
+            'key': 'op/config',
+            'revision': 3,
+            'removed': True,
+            'value': base64.b64encode(content).decode(),
+        }
+        answer = {'events': [*events, removed], 'as_of': 3}
+        client = kvstore.KvStore('127.0.0.1', 1, 0.5)
+        changes = client.parse(json.dumps(answer).encode())
+        values = [
+            base64.b64decode(event.get('value', '')).decode()
+            for event in json.loads(changes.content)['events']
+        ]
+        self.assertIn('"alpha"', values[0])
+        self.assertNotIn(KEY, ''.join(values))
+        again = client.parse(changes.content)
+        self.assertEqual(again.table.accounts.find(KEY).name, 'alpha')
+
+    def test_other_changes_are_relayed_as_they_are(self):
+        """Guards against a changed feed where there is no configuration."""
+        content = b'{"events": [], "as_of":3}'
+        client = kvstore.KvStore('127.0.0.1', 1, 0.5)
+        self.assertIs(client.parse(content).content, content)
+
+
 class AuthenticationTest(unittest.TestCase):
     def authenticate(self, key, age_s=0, *, is_public=False):
         return authentication.authenticate(
