--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -1,5 +1,7 @@
 """Client accounts: parsing, API keys, and what sees them."""
 
+import base64
+import collections
 import json
 import time
 import unittest
@@ -11,13 +13,15 @@
 from cardamomflow import (
     delegatedparts,
     errors,
+    hosting,
     journal,
     links,
     requeststate,
+    routes,
     rules,
 )
 from cardamomflow.accounts import authentication, table
-from cardamomflow.platform import backendlink, documents
+from cardamomflow.platform import backendlink, documents, kvstore
 from standins import users
 from tests import hostworld, loops, test_dispatching
 
@@ -121,6 +125,74 @@
             self.assertNotIn(KEY, caught.exception.message)
 
 
+class RelayTest(unittest.TestCase):
+    """Configurations that hosts relay to each other."""
+
+    def test_relayed_configuration_has_no_key_and_the_same_effect(self):
+        """Guards against keys in messages to other hosts."""
+        for accounts in (
+            [ALPHA, BETA],
+            [ALPHA, {**BETA, 'api_keys': [KEY, 'b']}],
+            [{**ALPHA, 'name': ''}, BETA, None, {**ALPHA, 'burst': -1}],
+            [{'name': KEY.upper(), 'note': KEY, 'api_keys': [KEY, 1]}],
+            {'alpha': KEY},
+            KEY,
+        ):
+            with self.subTest(accounts):
+                document = users.configuration_document(1, [], ['a'])
+                document['tenants'] = accounts
+                content = json.dumps(document).encode()
+                relayed = documents.replace_keys(content)
+                self.assertNotIn(KEY, relayed.decode())
+                # Hosts relay what they got from other hosts.
+                self.assertEqual(documents.replace_keys(relayed), relayed)
+                direct, indirect = (
+                    documents.parse_routes(found).accounts
+                    for found in (content, relayed)
+                )
+                self.assertTrue(indirect)
+                for found in (indirect, direct):
+                    self.assertIsNone(found.find('unknown'))
+                self.assertEqual(
+                    indirect.accounts_by_name, direct.accounts_by_name
+                )
+                self.assertEqual(
+                    indirect._accounts_by_digest, direct._accounts_by_digest
+                )
+                self.assertEqual(len(indirect.problems), len(direct.problems))
+
+    def test_content_of_a_watch_has_no_key(self):
+        """Guards against a feed that carries the store's answer as it is."""
+        store = users.Store()
+        content = json.dumps({'tenants': [ALPHA]}).encode()
+        document = users.configuration_document(1, [], ['a'])
+        store.put('op/config', {**document, 'tenants': [ALPHA]})
+        events = [store._render('op/config')]
+        removed = {
+            'key': 'op/config',
+            'revision': 3,
+            'removed': True,
+            'value': base64.b64encode(content).decode(),
+        }
+        answer = {'events': [*events, removed], 'as_of': 3}
+        client = kvstore.KvStore('127.0.0.1', 1, 0.5)
+        changes = client.parse(json.dumps(answer).encode())
+        values = [
+            base64.b64decode(event.get('value', '')).decode()
+            for event in json.loads(changes.content)['events']
+        ]
+        self.assertIn('"alpha"', values[0])
+        self.assertNotIn(KEY, ''.join(values))
+        again = client.parse(changes.content)
+        self.assertEqual(again.table.accounts.find(KEY).name, 'alpha')
+
+    def test_other_changes_are_relayed_as_they_are(self):
+        """Guards against a changed feed where there is no configuration."""
+        content = b'{"events": [], "as_of":3}'
+        client = kvstore.KvStore('127.0.0.1', 1, 0.5)
+        self.assertIs(client.parse(content).content, content)
+
+
 class AuthenticationTest(unittest.TestCase):
     def authenticate(self, key, age_s=0, *, is_public=False):
         return authentication.authenticate(
@@ -178,6 +250,102 @@
         self.assertIs(delegated.rank, rules.Rank.BULK)
 
 
+class EarlyRefusalTest(unittest.TestCase):
+    """One account floods a service whose servers take 0.1 s for a request."""
+
+    def flood(self, accounts):
+        """Return the requests of the flood, and one of another account."""
+        world = test_dispatching.World(('a',), connections=1)
+        world.dispatcher.apply(
+            routes.RouteTable(
+                2, [], {'a': 1}, routes.Limits(1, 1, 1, 1), accounts
+            )
+        )
+        flood = []
+        other = None
+        sent = collections.deque()
+        for step in range(200):
+            now = step / 100
+            while sent and sent[0].started_at <= now - 0.1:
+                world.dispatcher.on_reply(
+                    sent.popleft(), test_dispatching.reply(), now
+                )
+                sent.extend(world.send_attempts())
+            if step == 150:
+                other = self.start(world, 'beta', now)
+            flood.append(self.start(world, 'alpha', now))
+            sent.extend(world.send_attempts())
+        return flood, other
+
+    def test_refusal_at_its_turn_wakes_the_request(self):
+        """Guards against a refused request that waits for its deadline."""
+
+        async def scenario(world):
+            requests = world.host.active_requests
+            work = requeststate.Work(
+                test_dispatching.make_payment(),
+                ('unlisted',),
+                None,
+                0,
+                requeststate.TimeBudget(1),
+            )
+            changed = curio.Event()
+            requests._changed_by_work[work] = changed
+            requests.dispatcher.queues._refused_works.append(work)
+            await requests.send()
+            return changed.is_set()
+
+        self.assertTrue(hostworld.run_scenario(scenario))
+
+    def start(self, world, name, now):
+        work = requeststate.Work(
+            test_dispatching.make_payment(),
+            ('a',),
+            None,
+            now,
+            requeststate.TimeBudget(1),
+            table.Account(name),
+        )
+        world.dispatcher.start(work, now)
+        return work
+
+    def reasons(self, works):
+        return {work.subrequests[0].failure_reason for work in works}
+
+    def test_request_whose_turn_comes_too_late_is_refused_at_once(self):
+        """Guards against a refusal at the deadline, and one of others."""
+        flood, other = self.flood(parse(ALPHA, BETA))
+        refused = [work for work in flood if work.failed_count]
+        self.assertGreater(len(refused), 50)
+        self.assertEqual(self.reasons(refused), {'deadline_unreachable'})
+        for work in refused:
+            self.assertEqual(work.subrequests[0].attempts, [])
+            self.assertIs(work.end(), requeststate.Ending.NOT_RUN)
+            with self.assertRaises(errors.DeadlineUnreachable):
+                hosting._raise_failure(work, requeststate.Ending.NOT_RUN, 1)
+        self.assertEqual(other.answered_count, 1)
+        self.assertLess(other.subrequests[0].attempts[0].started_at, 1.7)
+
+    def test_request_that_is_too_late_at_its_turn_is_not_sent(self):
+        """Guards against work for answers that nobody waits for."""
+        flood, _ = self.flood(parse(ALPHA, BETA))
+        attempts = [
+            attempt
+            for work in flood
+            for attempt in work.subrequests[0].attempts
+        ]
+        self.assertGreater(len(attempts), 30)
+        # Every attempt is answered after 0.1 s.
+        for attempt in attempts:
+            deadline = attempt.subrequest.work.deadline
+            self.assertLessEqual(attempt.started_at + 0.1, deadline + 0.02)
+
+    def test_without_accounts_nothing_is_refused_early(self):
+        """Guards against refusals in deployments without accounts."""
+        flood, other = self.flood(table.NO_ACCOUNTS)
+        self.assertEqual(self.reasons([*flood, other]), {None})
+
+
 class AccountWorld(hostworld.HostWorld):
     """A host with two accounts and a public route."""
 
@@ -330,6 +498,33 @@
         for output in (*outputs, lines):
             self.assertNotIn(KEY, str(output))
 
+    def test_owner_of_parts_queues_with_its_own_limits(self):
+        """Guards against an owner that gives every account one weight."""
+
+        async def scenario(world):
+            accounts = []
+
+            async def run_parts(work, report):
+                accounts.append(work.account)
+                return requeststate.Ending.NOT_RUN
+
+            with mock.patch.object(
+                world.host.active_requests, 'run_parts', run_parts
+            ):
+                for name in ('alpha', 'new'):
+                    work = delegatedparts.DelegatedWork(
+                        test_dispatching.make_route(),
+                        backendlink.Message(b'GET', b'/x', [], b'', b'r1'),
+                        0,
+                        1,
+                        table.Account(name),
+                    )
+                    await world.host.serve_parts(work, None, 'host-2')
+            return [(account.name, account.weight) for account in accounts]
+
+        weights = self.run_scenario(scenario)
+        self.assertEqual(weights, [('alpha', 9.5), ('new', 1)])
+
     def test_rank_of_the_account_replaces_that_of_the_route(self):
         """Guards against metrics and queues with the rank of the route."""
 
