Keep work in the availability zone that can serve it in time

The choice among replicas compared waits and sent work to another zone when the wait there was half as long, whatever the zone still could do itself. Where a host's settings name several zones, a policy now decides: an attempt leaves only if the own zone is too slow for its target, another zone has room, and the share of the service has a credit. Other hosts choose as before.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -21,6 +21,7 @@
     requeststate,
 )
 from cardamomflow.platform import backendlink
+from cardamomflow.zonespill import policy
 
 _MS = 1000
 _EVENTS_BY_KIND = {
@@ -43,6 +44,7 @@
             backend_directory,
             process_context.settings['host']['availability_zone'],
             process_context.random,
+            policy.create(process_context.settings, process_context.random),
         )
         self.transport = backendlink.Transport(
             backend_directory.backends_by_id,
--- a/cardamomflow/directory.py
+++ b/cardamomflow/directory.py
@@ -70,6 +70,14 @@
             if self.backends_by_id[backend_id].availability_zone == zone
         }
 
+    def by_zone(self, backend_ids: Iterable[str]) -> dict[str, list[str]]:
+        """Return the given backend servers by their zone."""
+        ids_by_zone: dict[str, list[str]] = {}
+        for backend_id in backend_ids:
+            zone = self.backends_by_id[backend_id].availability_zone
+            ids_by_zone.setdefault(zone, []).append(backend_id)
+        return ids_by_zone
+
     def services_by_zone(self, services: Iterable[str]) -> dict[str, set[str]]:
         """Return the given services that have backend servers, by zone."""
         services_by_zone: dict[str, set[str]] = {}
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -27,6 +27,7 @@
     routes,
     rules,
 )
+from cardamomflow.zonespill import policy, selection
 
 # A hedge that starts after this share of the target would miss the target.
 LATEST_HEDGE_SHARE = 0.3
@@ -51,6 +52,7 @@
         backends: directory.Directory,
         availability_zone: str,
         random: random_module.Random,
+        zone_policy: policy.Policy = policy.NEAREST,
     ) -> None:
         """Create a dispatcher without routes.
 
@@ -61,10 +63,16 @@
         availability_zone : str
             Zone of this host, which is preferred.
         random : random.Random
+        zone_policy : policy.Policy
+            Decides which attempts leave the zone.
         """
+        self.zone_policy = zone_policy
         self._directory = backends
         self._zone = availability_zone
         self._chooser = replicas.ReplicaChooser(random)
+        self._zones = selection.ZoneSelection(
+            backends, availability_zone, self._chooser, zone_policy
+        )
         self.notices = backendnotices.BackendNotices(backends, random)
         # Used only for hedge delays: budgets limit extra load by service.
         self._hedges = hedging.HedgePolicy(
@@ -88,6 +96,7 @@
         """Apply the routes of a new revision."""
         self._table = table
         self._budgets.retain(table.services())
+        self.zone_policy.retain(table.services())
         self.update_sharing(self._sharing)
 
     def update_sharing(self, sharing: extraload.FleetBudget) -> None:
@@ -205,7 +214,7 @@
         subrequest = attempt.subrequest
         self.reachability.record_answer(attempt.availability_zone)
         self.notices.apply(attempt.backend_id, reply, now)
-        self._end_attempt(attempt, reply.outcome, now)
+        self._end_attempt(attempt, reply.outcome, now, reply)
         if reply.load is not None:
             self._chooser.record_report(attempt.backend_id, *reply.load, 0, now)
             self.occupancy.record_load(attempt.backend_id, reply.load)
@@ -254,6 +263,7 @@
             if not change.usable and self.occupancy.is_idle(change.backend_id):
                 self._chooser.remove(change.backend_id)
                 self.occupancy.forget(change.backend_id)
+                self.zone_policy.forget(change.service, change.backend_id)
             self._send_queued(change.service, now)
 
     def _process_reply(
@@ -278,9 +288,11 @@
         attempt: requeststate.Attempt,
         outcome: limits.CallOutcome,
         now: float,
+        reply: requeststate.Reply | None = None,
     ) -> None:
         backend_id = attempt.backend_id
         attempt.end(outcome, now)
+        self.zone_policy.record_end(attempt, reply, now)
         self.occupancy.record_end(backend_id)
         latency_s = now - attempt.started_at
         self._chooser.record_end(backend_id, outcome, latency_s, now)
@@ -325,11 +337,14 @@
             now,
             self.occupancy.is_idle,
         )
+        choice = self._zones.choose(
+            subrequest, candidates, available, now, is_hedge=True
+        )
         if (
-            available
+            choice.backend_ids
             and self._budgets.for_service(subrequest.service).withdraw()
         ):
-            self._send_to_one(subrequest, available, now)
+            self._send_to_one(subrequest, choice, now)
 
     def _send(
         self,
@@ -346,22 +361,23 @@
         available = self.notices.accepting_more(
             available, now, self.occupancy.is_idle
         )
-        return self._send_to_one(subrequest, available, now)
+        choice = self._zones.choose(subrequest, candidates, available, now)
+        return self._send_to_one(subrequest, choice, now)
 
     def _send_to_one(
         self,
         subrequest: requeststate.Subrequest,
-        available: Sequence[str],
+        choice: policy.Choice,
         now: float,
     ) -> bool:
-        near = self._directory.in_zone(available, self._zone)
-        backend_id = self._chooser.choose(available, now, near=near)
+        backend_id = self._zones.draw(choice, now)
         if backend_id is None:
             return False
         zone = self._directory.backends_by_id[backend_id].availability_zone
         self.reachability.record_request(zone, backend_id, now)
         self.occupancy.record_start(backend_id)
         self._chooser.record_start(backend_id, now)
+        self.zone_policy.record_start(subrequest.service, zone, backend_id, now)
         self._new_attempts.append(subrequest.add_attempt(backend_id, zone, now))
         return True
 
@@ -391,7 +407,7 @@
             and backend_id not in subrequest.unreachable_ids
             and self._may_get_work(backend_id, now)
         ]
-        return self.occupancy.prefer_accepting(backends, now)
+        return self._zones.prefer_accepting(self.occupancy, backends, now)
 
     def _hedge_delay_s(self, route: routes.Route) -> float:
         latest_s = route.target_s * LATEST_HEDGE_SHARE
@@ -401,6 +417,9 @@
 
     def _enqueue(self, subrequest: requeststate.Subrequest) -> None:
         subrequest.is_queued = True
+        self.zone_policy.record_queued(
+            subrequest.service, subrequest.work.route.rank
+        )
         heapq.heappush(
             self._queues_by_service.setdefault(subrequest.service, []),
             _QueuedSubrequest(
@@ -421,6 +440,9 @@
                     self.notices.mark_unserved(subrequest, now)
             heapq.heappop(queue)
             subrequest.is_queued = False
+            self.zone_policy.record_dequeued(
+                service, subrequest.work.route.rank
+            )
 
 
 def _may_hedge(subrequest: requeststate.Subrequest) -> bool:
--- a/cardamomflow/replicas.py
+++ b/cardamomflow/replicas.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Sequence, Set
 
 from cardamomflow import limits
+from cardamomflow.zonespill import placement
 
 LATENCY_WEIGHT = 0.2
 # The latency of an unused replica decays, so that it is tried again.
@@ -30,10 +31,6 @@
 # A free replica stays idle if its latency is above this many times the expected
 # wait for another one; work sent to a straggler would finish later.
 IDLE_LATENCY_FACTOR = 2
-# A replica of another availability zone is chosen if its expected wait is this
-# many times shorter. Traffic between zones costs the users money, and a zone
-# that may be cut off should not depend on other zones.
-REMOTE_FACTOR = 2
 # A failure counts as an answer with this many times the latency of the slowest
 # peer. Otherwise a replica that fails at once would seem fastest and get all
 # work until its ejection. Avoiding it completely would overload the others.
@@ -178,6 +175,7 @@
         now: float,
         excluded: Collection[str] = (),
         near: Set[str] = NO_REPLICAS,
+        zone_placement: placement.Placement = placement.NEAR_FIRST,
     ) -> str | None:
         """Return a candidate, or None when all are excluded.
 
@@ -190,6 +188,8 @@
             Replicas that must not be used, such as those already tried.
         near : set of str
             Replicas in the availability zone of this process; preferred.
+        zone_placement : placement.Placement
+            Weighs the wait at replicas of the own and of other zones.
         """
         self._record_candidates(candidates, now)
         usable = [
@@ -210,7 +210,7 @@
 
         def cost(backend_id: str) -> float:
             load = self._replicas_by_id[backend_id].load(now)
-            return load if backend_id in near else load * REMOTE_FACTOR
+            return zone_placement.cost(load, is_near=backend_id in near)
 
         return min(drawn, key=cost, default=None)
 
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -131,6 +131,7 @@
         'is_queued',
         'handover',
         'remote_attempts',
+        'exceeds_zone',
     )
 
     def __init__(self, work: 'Work', service: str) -> None:
@@ -150,6 +151,8 @@
         self.handover: Any = None
         # 1 if another host may have made an attempt before, otherwise 0.
         self.remote_attempts = 0
+        # Whether the own zone was found unable to serve it in time.
+        self.exceeds_zone = False
 
     @property
     def open_attempts(self) -> list['Attempt']:
--- /dev/null
+++ b/cardamomflow/zonespill/figures.py
@@ -0,0 +1,167 @@
+"""What one host sees of a service in each availability zone; sans-I/O.
+
+Owns the latency by zone and rank, the attempts in flight, and the load that
+backend servers report, each with its age. Nothing here comes from another host.
+A figure may be late, false or missing: old ones count as unknown, and what is
+measured here is believed before what is reported.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cardamomflow import requeststate, rules
+
+LATENCY_WEIGHT = 0.1
+# A latency without a new answer for this time in seconds is forgotten.
+LATENCY_KEPT_S = 10.0
+# Time in seconds for which a load report counts. Servers that are nearly full
+# report with each of their answers, many times in this time.
+REPORT_KEPT_S = 1.0
+# Part of the slots of another zone's backend server that may be in use when it
+# gets work from this zone. The rest is left for the work of its own zone.
+SLOT_SHARE = 0.8
+# Room in requests that is assumed at a backend server without a recent report.
+UNKNOWN_ROOM = 0.5
+# Time in seconds without work for a backend server that refused some.
+REFUSED_S = 0.5
+_KB = 1024
+
+
+class Report(NamedTuple):
+    """Load of a backend server and when it was reported."""
+
+    room: float
+    taken_at: float
+
+
+class _Latency:
+    """Average latency of answers, with the time of the last one."""
+
+    __slots__ = ('average_s', 'updated_at')
+
+    def __init__(self) -> None:
+        self.average_s: float = 0
+        self.updated_at = -math.inf
+
+    def record(self, latency_s: float, now: float) -> None:
+        if now - self.updated_at > LATENCY_KEPT_S:
+            self.average_s = latency_s
+        else:
+            self.average_s += LATENCY_WEIGHT * (latency_s - self.average_s)
+        self.updated_at = now
+
+    def read(self, now: float) -> float | None:
+        """Return the average in seconds, None if it is too old."""
+        if now - self.updated_at > LATENCY_KEPT_S:
+            return None
+        return self.average_s
+
+
+class ZoneFigures:
+    """Figures of the backend servers of a service in one zone.
+
+    Attributes
+    ----------
+    in_flight : int
+        Attempts of this host that have not ended.
+    """
+
+    def __init__(self) -> None:
+        """Start without figures."""
+        self.in_flight = 0
+        self._latency = _Latency()
+        self._latency_by_rank = {rank: _Latency() for rank in rules.Rank}
+        self._reports_by_id: dict[str, Report] = {}
+        self._in_flight_by_id: dict[str, int] = {}
+        self._refused_until_by_id: dict[str, float] = {}
+
+    def record_start(self, backend_id: str) -> None:
+        """Count an attempt that was sent."""
+        self.in_flight += 1
+        in_flight = self._in_flight_by_id.get(backend_id, 0)
+        self._in_flight_by_id[backend_id] = in_flight + 1
+
+    def record_end(self, backend_id: str) -> None:
+        """Count the end of an attempt."""
+        in_flight = self._in_flight_by_id.get(backend_id, 0)
+        if not in_flight:
+            return
+        self.in_flight -= 1
+        if in_flight == 1:
+            self._in_flight_by_id.pop(backend_id)
+        else:
+            self._in_flight_by_id[backend_id] = in_flight - 1
+
+    def record_latency(
+        self, rank: rules.Rank, latency_s: float, now: float
+    ) -> None:
+        """Record the time from sending a request to its answer."""
+        self._latency.record(latency_s, now)
+        self._latency_by_rank[rank].record(latency_s, now)
+
+    def record_load(
+        self, backend_id: str, load: requeststate.Load, taken_at: float
+    ) -> None:
+        """Record a load report; an older one than the last is ignored."""
+        last = self._reports_by_id.get(backend_id)
+        if last is None or taken_at >= last.taken_at:
+            room = SLOT_SHARE * load.slots - load.running - load.waiting
+            self._reports_by_id[backend_id] = Report(room, taken_at)
+
+    def record_refusal(self, backend_id: str, now: float) -> None:
+        """Record that a backend server refused work."""
+        self._refused_until_by_id[backend_id] = now + REFUSED_S
+
+    def forget(self, backend_id: str) -> None:
+        """Drop what is known of a backend server that is not listed."""
+        self._reports_by_id.pop(backend_id, None)
+        self._refused_until_by_id.pop(backend_id, None)
+
+    def latency_s(self, now: float) -> float | None:
+        """Return the average latency of all ranks in seconds, if known."""
+        return self._latency.read(now)
+
+    def rank_latency_s(self, rank: rules.Rank, now: float) -> float | None:
+        """Return the average latency of a rank in seconds, if known."""
+        return self._latency_by_rank[rank].read(now)
+
+    def room(self, backend_id: str, now: float) -> float:
+        """Return how many requests of this zone a backend server may take.
+
+        A backend server without a recent report may get one request, whose
+        answer brings a report.
+        """
+        if self._refused_until_by_id.get(backend_id, -math.inf) > now:
+            return 0
+        in_flight = self._in_flight_by_id.get(backend_id, 0)
+        report = self._reports_by_id.get(backend_id)
+        if report is None or now - report.taken_at > REPORT_KEPT_S:
+            return 0 if in_flight else UNKNOWN_ROOM
+        return max(0.0, report.room - in_flight)
+
+    def with_room(
+        self, backend_ids: Iterable[str], now: float
+    ) -> tuple[list[str], float]:
+        """Return the backend servers that may take work, and their room."""
+        found = []
+        total: float = 0
+        for backend_id in backend_ids:
+            room = self.room(backend_id, now)
+            if room > 0:
+                found.append(backend_id)
+                total += room
+        return found, total
+
+
+class AnswerSize:
+    """Average size of the answers of a service."""
+
+    def __init__(self) -> None:
+        """Start with empty answers."""
+        self.average_kb: float = 0
+
+    def record(self, size_bytes: int) -> None:
+        """Record the size of an answer in bytes."""
+        difference_kb = size_bytes / _KB - self.average_kb
+        self.average_kb += LATENCY_WEIGHT * difference_kb
--- /dev/null
+++ b/cardamomflow/zonespill/selection.py
@@ -0,0 +1,106 @@
+"""Which backend servers one attempt of a dispatcher may go to; sans-I/O.
+
+Translates the state of a request into a query of the policy. Holds no figures.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from cardamomflow import directory, occupancy, replicas, requeststate
+from cardamomflow.zonespill import placement, policy
+
+
+class ZoneSelection:
+    """Asks the policy of a host for its attempts.
+
+    Attributes
+    ----------
+    policy : policy.Policy
+    """
+
+    def __init__(
+        self,
+        backends: directory.Directory,
+        own_zone: str,
+        chooser: replicas.ReplicaChooser,
+        zone_policy: policy.Policy,
+    ) -> None:
+        self.policy = zone_policy
+        self._directory = backends
+        self._own_zone = own_zone
+        self._chooser = chooser
+
+    def prefer_accepting(
+        self,
+        limits: occupancy.Occupancy,
+        backend_ids: list[str],
+        now: float,
+    ) -> list[str]:
+        """Return the backend servers that did not refuse recently, or all.
+
+        With an active policy each zone is taken by itself. Refusals of all
+        servers at home would otherwise move all work to another zone for as
+        long as they are avoided.
+        """
+        if not self.policy.is_active:
+            return limits.prefer_accepting(backend_ids, now)
+        return [
+            backend_id
+            for in_zone in self._directory.by_zone(backend_ids).values()
+            for backend_id in limits.prefer_accepting(in_zone, now)
+        ]
+
+    def choose(
+        self,
+        subrequest: requeststate.Subrequest,
+        candidates: Iterable[str],
+        available: Sequence[str],
+        now: float,
+        *,
+        is_hedge: bool = False,
+    ) -> policy.Choice:
+        """Return the backend servers that an attempt may go to now.
+
+        Parameters
+        ----------
+        subrequest : requeststate.Subrequest
+        candidates : iterable of str
+            Backend servers that may get the attempt, free or not.
+        available : sequence of str
+            Those with a free place for this host.
+        now : float
+        is_hedge : bool
+        """
+        if not self.policy.is_active:
+            return policy.Choice(policy.Decision.HOME, available)
+        at_home = self._directory.in_zone(candidates, self._own_zone)
+        work = subrequest.work
+        choice = self.policy.decide(
+            policy.Query(
+                subrequest.service,
+                work.route.rank,
+                work.answer_at,
+                work.deadline,
+                is_first=not subrequest.attempts and not subrequest.is_queued,
+                is_queued=subrequest.is_queued,
+                is_hedge=is_hedge,
+                is_counted=subrequest.exceeds_zone,
+            ),
+            self._directory.by_zone(available),
+            now,
+            has_home=not all(
+                self._chooser.is_ejected(backend_id, now)
+                for backend_id in at_home
+            ),
+        )
+        subrequest.exceeds_zone |= choice.exceeds_zone
+        return choice
+
+    def draw(self, choice: policy.Choice, now: float) -> str | None:
+        """Return one of the backend servers of a choice, None if it waits."""
+        near = self._directory.in_zone(choice.backend_ids, self._own_zone)
+        zone_placement: placement.Placement = placement.NEAR_FIRST
+        if choice.decision is policy.Decision.OVERFLOW:
+            zone_placement = placement.CHOSEN_ZONE
+        return self._chooser.choose(
+            choice.backend_ids, now, near=near, zone_placement=zone_placement
+        )
