--- a/cardamomflow/zonespill/figures.py
+++ b/cardamomflow/zonespill/figures.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from cardamomflow import requeststate, rules
@@ -15,9 +15,14 @@
 LATENCY_WEIGHT = 0.1
 # A latency without a new answer for this time in seconds is forgotten.
 LATENCY_KEPT_S = 10.0
+# Time in seconds in which the lowest average follows a lasting slowdown.
+LOWEST_RISE_S = 30.0
 # Time in seconds for which a load report counts. Servers that are nearly full
 # report with each of their answers, many times in this time.
 REPORT_KEPT_S = 1.0
+# Time in seconds for which a reported queue counts. It is about the time in
+# which a backend server answers as many requests as it has slots.
+QUEUE_KEPT_S = 0.1
 # Part of the slots of another zone's backend server that may be in use when it
 # gets work from this zone. The rest is left for the work of its own zone.
 SLOT_SHARE = 0.8
@@ -32,30 +37,43 @@
     """Load of a backend server and when it was reported."""
 
     room: float
+    waiting: int
     taken_at: float
 
 
 class _Latency:
-    """Average latency of answers, with the time of the last one."""
+    """Average latency of answers, with the time of the last one.
 
-    __slots__ = ('average_s', 'updated_at')
+    Attributes
+    ----------
+    lowest_s : float
+        Lowest recent average in seconds, infinite without an answer.
+    """
+
+    __slots__ = ('lowest_s', '_average_s', '_updated_at')
 
     def __init__(self) -> None:
-        self.average_s: float = 0
-        self.updated_at = -math.inf
+        self.lowest_s = math.inf
+        self._average_s: float = 0
+        self._updated_at = -math.inf
 
     def record(self, latency_s: float, now: float) -> None:
-        if now - self.updated_at > LATENCY_KEPT_S:
-            self.average_s = latency_s
+        elapsed_s = now - self._updated_at
+        if elapsed_s > LATENCY_KEPT_S:
+            self._average_s = latency_s
+            self.lowest_s = latency_s
         else:
-            self.average_s += LATENCY_WEIGHT * (latency_s - self.average_s)
-        self.updated_at = now
+            self._average_s += LATENCY_WEIGHT * (latency_s - self._average_s)
+            rise = min(1.0, max(0.0, elapsed_s) / LOWEST_RISE_S)
+            self.lowest_s += rise * (self._average_s - self.lowest_s)
+            self.lowest_s = min(self.lowest_s, self._average_s)
+        self._updated_at = now
 
     def read(self, now: float) -> float | None:
         """Return the average in seconds, None if it is too old."""
-        if now - self.updated_at > LATENCY_KEPT_S:
+        if now - self._updated_at > LATENCY_KEPT_S:
             return None
-        return self.average_s
+        return self._average_s
 
 
 class ZoneFigures:
@@ -107,7 +125,9 @@
         last = self._reports_by_id.get(backend_id)
         if last is None or taken_at >= last.taken_at:
             room = SLOT_SHARE * load.slots - load.running - load.waiting
-            self._reports_by_id[backend_id] = Report(room, taken_at)
+            self._reports_by_id[backend_id] = Report(
+                room, load.waiting, taken_at
+            )
 
     def record_refusal(self, backend_id: str, now: float) -> None:
         """Record that a backend server refused work."""
@@ -126,6 +146,10 @@
         """Return the average latency of a rank in seconds, if known."""
         return self._latency_by_rank[rank].read(now)
 
+    def lowest_latency_s(self, rank: rules.Rank) -> float:
+        """Return the lowest recent latency of a rank, infinite if unknown."""
+        return self._latency_by_rank[rank].lowest_s
+
     def room(self, backend_id: str, now: float) -> float:
         """Return how many requests of this zone a backend server may take.
 
@@ -140,6 +164,28 @@
             return 0 if in_flight else UNKNOWN_ROOM
         return max(0.0, report.room - in_flight)
 
+    def without_queue(
+        self, backend_ids: Sequence[str], now: float
+    ) -> Sequence[str]:
+        """Return the backend servers that reported no queue just now.
+
+        Returns all if this host waits for no answer of the zone, since nothing
+        would tell it later that a queue has ended.
+        """
+        if not self.in_flight:
+            return backend_ids
+        return [
+            backend_id
+            for backend_id in backend_ids
+            if not self._has_queue(backend_id, now)
+        ]
+
+    def _has_queue(self, backend_id: str, now: float) -> bool:
+        report = self._reports_by_id.get(backend_id)
+        if report is None or not report.waiting:
+            return False
+        return now - report.taken_at <= QUEUE_KEPT_S
+
     def with_room(
         self, backend_ids: Iterable[str], now: float
     ) -> tuple[list[str], float]:
--- a/cardamomflow/zonespill/policy.py
+++ b/cardamomflow/zonespill/policy.py
@@ -18,6 +18,10 @@
 # Time that is planned for an attempt, as a multiple of the average latency: a
 # tenth of the requests of the users' services takes longer than this.
 LATENCY_RESERVE = 1.5
+# Time in seconds for which the own zone counts as short after a request was too
+# slow there. Bulk work then makes room and hedges avoid queues: the queues of
+# backend servers ignore ranks, so urgent work would leave to pass bulk work.
+SHORT_S = 0.5
 # Part of the capacity that a rank is expected to get at least.
 MINIMUM_LEFT_SHARE = 0.05
 # The own zone has to take this many times longer than another one, so that
@@ -122,6 +126,28 @@
         self.queued_by_rank = dict.fromkeys(rules.Rank, 0)
         self.answer_size = figures.AnswerSize()
         self.logged_share: float = 0
+        # When a request of bulk work, and one of another rank, last was too
+        # slow at home.
+        self.bulk_needed_at = -math.inf
+        self.needed_at = -math.inf
+
+    def record_need(self, query: Query, now: float) -> None:
+        """Count a request that the own zone can't serve in time."""
+        if not query.is_counted:
+            self.overflow.record_need(now)
+        if query.rank is rules.Rank.BULK:
+            self.bulk_needed_at = now
+        else:
+            self.needed_at = now
+
+    def makes_room(self, rank: rules.Rank, now: float) -> bool:
+        """Return whether work is to make room at home for more urgent work."""
+        is_bulk = rank is rules.Rank.BULK
+        return is_bulk and now - self.needed_at <= SHORT_S
+
+    def is_short(self, now: float) -> bool:
+        """Return whether the own zone was too slow for a request just now."""
+        return now - max(self.needed_at, self.bulk_needed_at) <= SHORT_S
 
     def figures(self, zone: str) -> figures.ZoneFigures:
         found = self.figures_by_zone.get(zone)
@@ -314,7 +340,6 @@
         has_home: bool,
     ) -> Choice:
         """Keep an attempt at home unless that is too slow for it."""
-        home = free_by_zone.get(self._own_zone, ())
         state = self._service(query.service, now)
         if query.is_first:
             state.overflow.record_arrival(query.rank, now)
@@ -323,29 +348,23 @@
             return Choice(
                 Decision.MISSING, self._missing(state, free_by_zone, now)
             )
-        stay = Choice(Decision.HOME if home else Decision.WAIT, home)
+        home = free_by_zone.get(self._own_zone, ())
         if query.is_hedge:
-            return stay
+            return _stay(self._for_hedge(state, home, now))
         home_s = self._home_s(state, query, is_free=bool(home), now=now)
-        if now + home_s <= _horizon(query, now):
-            return stay
-        stay = stay._replace(exceeds_zone=True)
-        if not query.is_counted:
-            state.overflow.record_need(now)
-        if not state.overflow.may_spend(query.rank):
-            return stay
-        gain_s = self._settings.gain_s_per_kb * state.answer_size.average_kb
-        zone = self._choose_zone(
-            state,
-            query.rank,
-            free_by_zone,
-            min(home_s - gain_s, query.deadline - now),
-            now,
-        )
-        if not zone:
-            return stay
-        state.overflow.spend()
-        return Choice(Decision.OVERFLOW, zone, exceeds_zone=True)
+        is_slow = now + home_s > _horizon(query, now)
+        if is_slow:
+            state.record_need(query, now)
+        elif not state.makes_room(query.rank, now):
+            return _stay(home)
+        away = self._away(state, query, free_by_zone, home_s, now)
+        if away:
+            state.overflow.spend()
+            return Choice(Decision.OVERFLOW, away, exceeds_zone=True)
+        if not is_slow and state.figures(self._own_zone).in_flight:
+            # An attempt that is in flight will end and ask again.
+            return Choice(Decision.WAIT, ())
+        return _stay(home, exceeds_zone=is_slow)
 
     def shares_by_service(self) -> dict[str, float]:
         """Return the share of each service that may leave now."""
@@ -395,24 +414,48 @@
         )
         return expected_s + (ahead + 1) / left_per_s
 
+    def _for_hedge(
+        self, state: _Service, home: Sequence[str], now: float
+    ) -> Sequence[str]:
+        """Return the backend servers of the own zone that may get a hedge."""
+        if not state.is_short(now):
+            return home
+        return state.figures(self._own_zone).without_queue(home, now)
+
+    def _away(
+        self,
+        state: _Service,
+        query: Query,
+        free_by_zone: Mapping[str, Sequence[str]],
+        home_s: float,
+        now: float,
+    ) -> Sequence[str]:
+        """Return the backend servers of another zone that is worth its cost.
+
+        Work that makes room is sent wherever its deadline can be met.
+        """
+        if not state.overflow.may_spend(query.rank):
+            return ()
+        within_s = query.deadline - now
+        if not state.makes_room(query.rank, now):
+            gain_s = self._settings.gain_s_per_kb * state.answer_size.average_kb
+            within_s = min(within_s, home_s - gain_s)
+        return self._choose_zone(state, query.rank, free_by_zone, within_s, now)
+
     def _remote_s(
         self, state: _Service, zone: str, rank: rules.Rank, now: float
     ) -> float:
         """Return the expected time to an answer of another zone.
 
-        A zone without a recent answer is expected to be as fast as the fastest
-        zone that is known.
+        A zone without a recent answer is expected to be as fast as the own one
+        was lately at its best.
         """
         latency_s = state.figures(zone).rank_latency_s(rank, now)
         if latency_s is not None:
             return LATENCY_RESERVE * latency_s
-        known = [
-            found
-            for each in state.figures_by_zone.values()
-            if (found := each.rank_latency_s(rank, now)) is not None
-        ]
-        fastest_s = min(known, default=0)
-        return LATENCY_RESERVE * fastest_s + self._settings.round_trip_s
+        home = state.figures(self._own_zone)
+        lowest_s = home.lowest_latency_s(rank)
+        return LATENCY_RESERVE * lowest_s + self._settings.round_trip_s
 
     def _choose_zone(
         self,
@@ -504,6 +547,12 @@
     return settings[key] / _MS if key in settings else default_s
 
 
+def _stay(home: Sequence[str], *, exceeds_zone: bool = False) -> Choice:
+    """Return the choice of an attempt that does not leave."""
+    decision = Decision.HOME if home else Decision.WAIT
+    return Choice(decision, home, exceeds_zone)
+
+
 def _horizon(query: Query, now: float) -> float:
     """Return until when an answer is in time.
 
--- a/lab/hosts.py
+++ b/lab/hosts.py
@@ -76,6 +76,9 @@
 Decisions.register(dispatching.Dispatcher)
 
 
+CreateDecisions = Callable[[directory.Directory, str, random.Random], Decisions]
+
+
 class Request:
     """A request at a host; the one who asked is told its end."""
 
@@ -99,13 +102,17 @@
         deployment: deployments.Deployment,
         servers_by_id: dict[str, servers.BackendServer],
         clock: timeline.Timeline,
-        create: Callable[[directory.Directory, str, random.Random], Decisions],
+        create: CreateDecisions,
         seed: str,
     ) -> None:
         """Start with all backend servers listed."""
         self.zone = zone
         self.attempts = 0
         self.needed = 0
+        # Calls to backend servers of other zones, by zone.
+        self.calls_by_remote_zone: collections.Counter[str] = (
+            collections.Counter()
+        )
         self.directory = directory.Directory()
         self._deployment = deployment
         self._servers_by_id = servers_by_id
@@ -142,7 +149,7 @@
         self._requests[work] = Request(kind, ended)
         self.needed += len(services)
         self._decisions.start(work, now)
-        self._send()
+        self.send_decided()
         self._look(work)
 
     def set_listed(
@@ -156,7 +163,7 @@
             change = self.directory.remove_entry(server.backend_id, now)
         if change is not None:
             self._decisions.on_directory_changes([change], now)
-            self._send()
+            self.send_decided()
 
     # Requests in progress.
 
@@ -169,7 +176,7 @@
             self._end(work)
             return
         next_at = self._decisions.tick(work, now)
-        self._send()
+        self.send_decided()
         self._clock.after(max(0, next_at - now), self._look, work)
 
     def _end(self, work: requeststate.Work) -> None:
@@ -179,7 +186,7 @@
             for attempt in work.open_attempts():
                 self._cancel(request, attempt)
         request.ended(work, ending)
-        self._send()
+        self.send_decided()
 
     def _cancel(self, request: Request, attempt: requeststate.Attempt) -> None:
         """Close the connection of an attempt."""
@@ -194,10 +201,10 @@
 
     # Attempts.
 
-    def _send(self) -> None:
+    def send_decided(self) -> None:
+        """Send what was decided, one call after the other."""
         for attempt in self._decisions.pop_attempts():
             self.attempts += 1
-            # Calls of one host leave one after the other.
             self._busy_until = (
                 max(self._busy_until, self._clock.now)
                 + self._deployment.call_cpu_s
@@ -226,6 +233,8 @@
             ),
         )
         attempt.sent = True
+        if server.zone != self.zone:
+            self.calls_by_remote_zone[server.zone] += 1
         request.calls_by_attempt[attempt] = call
         self._clock.after(
             handshake_s + way_s, server.arrive, call, connection_s
@@ -280,7 +289,7 @@
         self._go_on(attempt)
 
     def _go_on(self, attempt: requeststate.Attempt) -> None:
-        self._send()
+        self.send_decided()
         work = attempt.subrequest.work
         if work in self._requests and work.is_finished(self._clock.now):
             self._end(work)
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -37,6 +37,8 @@
         Connections are refused.
     hides_load : bool
         Reports tell an idle backend server.
+    report_lag_s : float
+        Age of the load that reports tell.
     """
 
     factor: float = 1.0
@@ -44,6 +46,7 @@
     is_dark: bool = False
     is_crashed: bool = False
     hides_load: bool = False
+    report_lag_s: float = 0
 
 
 class Call:
@@ -84,6 +87,9 @@
         self._random = random.Random(f'{seed}/{backend_id}')
         self._waiting: collections.deque[Call] = collections.deque()
         self._in_use = 0
+        self._loads: collections.deque[tuple[float, requeststate.Load]] = (
+            collections.deque()
+        )
         self._connections = 0
         self._paused_until: float = 0
         self._cold_from = -COLD_S
@@ -97,9 +103,17 @@
         """Slots, each by how fast it works now; none while it is away."""
         if self.faults.is_dark or self.faults.is_crashed:
             return 0
-        return self.service.slots / (
-            self._speed * self._cold_factor() * self.faults.factor
-        )
+        return self.service.slots / self.work_factor
+
+    @property
+    def work_factor(self) -> float:
+        """Factor of the time for work at this moment."""
+        return self._speed * self._cold_factor() * self.faults.factor
+
+    @property
+    def wanted_slots(self) -> int:
+        """Requests that run or wait."""
+        return self._in_use + len(self._waiting)
 
     def connect(self) -> bool:
         """Tell whether a new connection is accepted."""
@@ -160,7 +174,7 @@
         )
         if self._random.random() < kind.tail_share:
             work_s *= kind.tail_factor
-        return work_s * self._speed * self._cold_factor() * self.faults.factor
+        return work_s * self.work_factor
 
     def _cold_factor(self) -> float:
         is_cold = self._clock.now - self._cold_from < COLD_S
@@ -179,12 +193,26 @@
             if not following.is_cancelled:
                 self._start(following, 0)
 
-    def _answer(self, call: Call, status: int) -> None:
-        if self.faults.is_dark or call.is_cancelled:
-            return
+    def _reported_load(self) -> requeststate.Load:
+        """Return the present load, or the one of some time ago."""
+        now = self._clock.now
         load = requeststate.Load(
             self._in_use, len(self._waiting), self.service.slots
         )
+        if not self.faults.report_lag_s:
+            return load
+        self._loads.append((now, load))
+        while (
+            len(self._loads) > 1
+            and self._loads[1][0] <= now - self.faults.report_lag_s
+        ):
+            self._loads.popleft()
+        return self._loads[0][1]
+
+    def _answer(self, call: Call, status: int) -> None:
+        if self.faults.is_dark or call.is_cancelled:
+            return
+        load = self._reported_load()
         if self.faults.hides_load:
             load = requeststate.Load(0, 0, self.service.slots)
         call.respond(
--- a/lab/worlds.py
+++ b/lab/worlds.py
@@ -20,7 +20,16 @@
     requeststate,
     routes,
 )
-from lab import bounds, deployments, hosts, plain, servers, timeline
+from cardamomflow.zonespill import policy
+from lab import (
+    bounds,
+    deployments,
+    hosts,
+    plain,
+    planner,
+    servers,
+    timeline,
+)
 
 SAMPLE_S = 0.1
 _US_PER_S = 1_000_000
@@ -40,13 +49,17 @@
         self.ended: collections.Counter[str] = collections.Counter()
         self.worth: float = 0
         self.coverage: float = 0
+        # Requests and answers in their target, by the zone of the caller.
+        self.offered_by_zone: collections.Counter[str] = collections.Counter()
+        self.in_target_by_zone: collections.Counter[str] = collections.Counter()
         self._latency = histogram.HdrHistogram(1, _LONGEST_US, _DIGITS)
 
-    def answered(self, share: float, latency_s: float) -> None:
+    def answered(self, zone: str, share: float, latency_s: float) -> None:
         """Count an answer with a share of its parts."""
         in_target = latency_s <= self.kind.target_s
         worth = self.kind.worth if in_target else self.kind.late_worth
         self.in_target += in_target
+        self.in_target_by_zone[zone] += in_target
         self.worth += worth * share * share
         self.coverage += share
         self.ended['answered'] += 1
@@ -88,7 +101,8 @@
         deployment : deployments.Deployment
         seed : int
         baseline : str
-            `plain` for the baseline, anything else for the product.
+            `plain` or `planner` for a baseline, `zones` for the product
+            where it decides what leaves a zone, anything else for the product.
         """
         self.clock = timeline.Timeline()
         self.deployment = deployment
@@ -105,13 +119,22 @@
             for number in range(len(service.zones))
         }
         self.rates_by_kind = {kind.name: kind.rate for kind in deployment.kinds}
+        # Factor of the usual demand, by the zone of the callers.
+        self.demand_by_zone = dict.fromkeys(deployment.hosts, 1.0)
         self.give_up_share: float = 0
         self.figures_by_kind = {
             kind.name: Figures(kind) for kind in deployment.kinds
         }
         self.samples: list[Sample] = []
         self.capacity = bounds.Capacity(deployment)
-        create = _plain if baseline == 'plain' else self._create_dispatcher
+        self.policies_by_zone: dict[str, list[policy.ZonePolicy]] = {}
+        self._has_zone_policy = baseline == 'zones'
+        central = planner.Planner(
+            self.servers_by_id, deployment, random.Random(seed)
+        )
+        create = {'plain': _plain, 'planner': central.create}.get(
+            baseline, self._create_dispatcher
+        )
         self.hosts = [
             hosts.Host(
                 zone,
@@ -123,6 +146,8 @@
             )
             for number, zone in enumerate(deployment.hosts)
         ]
+        if baseline == 'planner':
+            central.attach(self.hosts)
         self._callers_random = random.Random(f'{seed}/callers')
         self._turns = itertools.count()
 
@@ -160,6 +185,7 @@
     ) -> None:
         """Let the next request of a kind come from a zone."""
         rate = self.rates_by_kind[kind.name] / zones
+        rate *= self.demand_by_zone[zone]
         delay_s = self._callers_random.expovariate(rate)
         if self.clock.now + delay_s >= length_s:
             return
@@ -167,7 +193,9 @@
         self.clock.after(delay_s, self._schedule, kind, zone, zones, length_s)
 
     def _due(self, kind: deployments.Kind, zone: str) -> None:
-        self.figures_by_kind[kind.name].offered += 1
+        figures = self.figures_by_kind[kind.name]
+        figures.offered += 1
+        figures.offered_by_zone[zone] += 1
         self.capacity.arrived(kind, self.clock.now)
         asking = Asking(kind, zone, self.clock.now, is_repeat=False)
         self.clock.after(self.deployment.client_s, self._ask, asking)
@@ -205,7 +233,7 @@
         heard_at = self.clock.now + way_s
         if ending is requeststate.Ending.ANSWERED:
             share = work.answered_count / len(work.subrequests)
-            figures.answered(share, heard_at - asking.due_at)
+            figures.answered(asking.zone, share, heard_at - asking.due_at)
             return
         may_repeat = asking.kind.repeatable
         wait_s: float = 0
@@ -239,7 +267,19 @@
         self, listed: object, zone: str, generator: random.Random
     ) -> hosts.Decisions:
         """Return the decisions of the product."""
-        dispatcher = dispatching.Dispatcher(listed, zone, generator)
+        zone_policy: policy.Policy = policy.NEAREST
+        if self._has_zone_policy:
+            zone_policy = policy.ZonePolicy(
+                zone,
+                policy.Settings(
+                    round_trip_s=2 * self.deployment.between_zones_s
+                ),
+                generator,
+            )
+            self.policies_by_zone.setdefault(zone, []).append(zone_policy)
+        dispatcher = dispatching.Dispatcher(
+            listed, zone, generator, zone_policy
+        )
         connections_by_service = {
             service.name: service.connections
             for service in self.deployment.services
