Report what leaves a zone, and keep full zones from exchanging work

A zone whose reported load is above the limit of a rank gets single requests, more seldom the fuller it is; before, hosts of zones that are all full found a momentary free slot somewhere. Counters by pair of zones, a gauge and a log line show what leaves. The policy is split into interface, state and decisions.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -21,7 +21,7 @@
     requeststate,
 )
 from cardamomflow.platform import backendlink
-from cardamomflow.zonespill import policy
+from cardamomflow.zonespill import overflowpolicy, traffic
 
 _MS = 1000
 _EVENTS_BY_KIND = {
@@ -44,7 +44,12 @@
             backend_directory,
             process_context.settings['host']['availability_zone'],
             process_context.random,
-            policy.create(process_context.settings, process_context.random),
+            overflowpolicy.create(
+                process_context.settings, process_context.random
+            ),
+        )
+        self._zone_traffic = traffic.ZoneTraffic(
+            process_context, self.dispatcher.zone_policy
         )
         self.transport = backendlink.Transport(
             backend_directory.backends_by_id,
@@ -120,6 +125,7 @@
     ) -> None:
         """Handle a complete answer."""
         self.dispatcher.on_reply(attempt, reply, self._clock())
+        self._zone_traffic.record_answer(attempt, reply)
         await self._report_notices()
         await self.wake(attempt.subrequest.work)
 
@@ -151,10 +157,12 @@
 
     async def send(self) -> None:
         """Send the attempts that were decided."""
+        self._zone_traffic.report_changes()
         for attempt in self.dispatcher.pop_attempts():
             is_first = attempt.backend_id == attempt.subrequest.attempted_ids[0]
             kind = 'first' if is_first else 'further'
             self._metrics.increment(f'host.sent.{kind}')
+            self._zone_traffic.record_attempt(attempt)
             await self.transport.send(attempt)
 
     async def _report_notices(self, **fields: str) -> None:
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -40,6 +40,7 @@
     PLATFORM_REGAINED = 'platform regained'
     ZONE_SILENT = 'zone silent'
     ZONE_ANSWERS = 'zone answers'
+    ZONE_SHARE = 'zone share changed'
     CUT_OFF = 'cut off'
     CONNECTED_AGAIN = 'connected again'
 
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -59,6 +59,18 @@
         'kind',
         'Backend servers that announced a stop or a pause, or resumed work.',
     ),
+    MetricDefinition(
+        'host.zone_attempts',
+        'host_zone_attempts',
+        'pair',
+        'Attempts at backend servers of another zone, by own and other zone.',
+    ),
+    MetricDefinition(
+        'host.zone_answer_bytes',
+        'host_zone_answer_bytes',
+        'pair',
+        'Bytes of answers from another zone, by own and other zone.',
+    ),
     MetricDefinition(
         'host.handed_over',
         'host_handed_over',
@@ -381,6 +393,12 @@
     MetricDefinition(
         'host.open_requests', 'host_open_requests', '', 'Requests in progress.'
     ),
+    MetricDefinition(
+        'host.zone_share',
+        'host_zone_share',
+        '',
+        'Largest share of a service whose requests may leave the zone.',
+    ),
     MetricDefinition(
         'loop.lag',
         'event_loop_lag_seconds',
--- a/cardamomflow/zonespill/figures.py
+++ b/cardamomflow/zonespill/figures.py
@@ -26,6 +26,22 @@
 # Part of the slots of another zone's backend server that may be in use when it
 # gets work from this zone. The rest is left for the work of its own zone.
 SLOT_SHARE = 0.8
+# Mean load, in running and waiting requests for each slot, up to which a zone
+# gets work of other zones. A less urgent rank leaves some to the more urgent.
+LARGEST_LOAD_BY_RANK = {
+    rules.Rank.URGENT: 1.0,
+    rules.Rank.STANDARD: 0.95,
+    rules.Rank.BULK: 0.9,
+}
+# Time in seconds over which the reports of a zone are averaged.
+LOAD_DECAY_S = 0.5
+# Largest weight of a single report, which may have come at a bad moment.
+MAXIMUM_LOAD_WEIGHT = 0.3
+# Time in seconds after which a zone with twice the largest load is asked again,
+# and the longest such time. Zones that are all full send each other next to
+# nothing that way.
+PROBE_S = 4.0
+MAXIMUM_PROBE_S = 8.0
 # Room in requests that is assumed at a backend server without a recent report.
 UNKNOWN_ROOM = 0.5
 # Time in seconds without work for a backend server that refused some.
@@ -93,6 +109,9 @@
         self._reports_by_id: dict[str, Report] = {}
         self._in_flight_by_id: dict[str, int] = {}
         self._refused_until_by_id: dict[str, float] = {}
+        # Mean of the reported loads, requests for each slot.
+        self._load: float = 0
+        self._loaded_at = -math.inf
 
     def record_start(self, backend_id: str) -> None:
         """Count an attempt that was sent."""
@@ -124,11 +143,35 @@
         """Record a load report; an older one than the last is ignored."""
         last = self._reports_by_id.get(backend_id)
         if last is None or taken_at >= last.taken_at:
+            self._record_zone_load(load, taken_at)
             room = SLOT_SHARE * load.slots - load.running - load.waiting
             self._reports_by_id[backend_id] = Report(
                 room, load.waiting, taken_at
             )
 
+    def _record_zone_load(
+        self, load: requeststate.Load, taken_at: float
+    ) -> None:
+        elapsed_s = max(0.0, taken_at - self._loaded_at)
+        weight = -math.expm1(-elapsed_s / LOAD_DECAY_S)
+        weight = min(MAXIMUM_LOAD_WEIGHT, max(LATENCY_WEIGHT, weight))
+        reported = (load.running + load.waiting) / max(1, load.slots)
+        self._load += weight * (reported - self._load)
+        self._loaded_at = max(taken_at, self._loaded_at)
+
+    def is_open(self, rank: rules.Rank, now: float) -> bool:
+        """Return whether the zone may get work of a rank from another zone.
+
+        A zone that reported to be full gets single requests, more seldom the
+        fuller it is.
+        """
+        excess = self._load / LARGEST_LOAD_BY_RANK[rank] - 1
+        if excess < 0:
+            return True
+        probe_after_s = min(MAXIMUM_PROBE_S, PROBE_S * excess)
+        is_due = now - self._loaded_at >= probe_after_s
+        return is_due and not self.in_flight
+
     def record_refusal(self, backend_id: str, now: float) -> None:
         """Record that a backend server refused work."""
         self._refused_until_by_id[backend_id] = now + REFUSED_S
--- /dev/null
+++ b/cardamomflow/zonespill/overflowpolicy.py
@@ -0,0 +1,384 @@
+"""Decides for each attempt whether it leaves the zone; sans-I/O.
+
+Owns the state of each service at one host. An attempt leaves only if the own
+zone can't serve it in time, another zone probably can, and the share has a
+credit for it. docs/design/leaving-the-zone.md says why.
+"""
+
+import math
+import random as random_module
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from cardamomflow import requeststate, rules
+from cardamomflow.zonespill import figures, overflow, policy, servicestate
+
+# Time that is planned for an attempt, as a multiple of the average latency. At
+# the spread of work in the lab, 0.35, a tenth of the requests takes longer.
+LATENCY_RESERVE = 1.5
+# Part of the capacity that a rank is expected to get at least.
+MINIMUM_LEFT_SHARE = 0.05
+# The own zone has to take this many times longer than another one, so that
+# figures which are a little too high or too low send nothing out.
+MINIMUM_GAIN_FACTOR = 1.25
+# A share that has changed by less than this since the last line is not logged.
+LOGGED_CHANGE = 0.1
+_MS = 1000
+
+
+class Settings(NamedTuple):
+    """Settings of the policy.
+
+    Attributes
+    ----------
+    share : overflow.ShareSettings
+    round_trip_s : float
+        Time in seconds that a call to another zone takes longer.
+    gain_s_per_kb : float
+        Seconds by which an answer has to be earlier for each KB of it.
+    """
+
+    share: overflow.ShareSettings = overflow.ShareSettings()
+    round_trip_s: float = 0.003
+    gain_s_per_kb: float = 0.001
+
+
+class ZonePolicy(policy.Policy):
+    """Keeps work in the own zone as long as that can serve it in time."""
+
+    is_active = True
+
+    def __init__(
+        self,
+        own_zone: str,
+        settings: Settings,
+        random: random_module.Random,
+    ) -> None:
+        """Start without figures.
+
+        Parameters
+        ----------
+        own_zone : str
+        settings : Settings
+        random : random.Random
+        """
+        self._own_zone = own_zone
+        self._settings = settings
+        self._random = random
+        self._services_by_name: dict[str, servicestate.ServiceState] = {}
+        self._changes: list[policy.ShareChange] = []
+
+    # Events.
+
+    def record_queued(self, service: str, rank: rules.Rank) -> None:
+        """Count a request that was enqueued; it has arrived before."""
+        self._services_by_name[service].queued_by_rank[rank] += 1
+
+    def record_dequeued(self, service: str, rank: rules.Rank) -> None:
+        """Count a request that has left the queue."""
+        self._services_by_name[service].queued_by_rank[rank] -= 1
+
+    def record_start(
+        self, service: str, zone: str, backend_id: str, now: float
+    ) -> None:
+        """Count an attempt that was sent."""
+        state = self._service(service, now)
+        state.figures(zone).record_start(backend_id)
+
+    def record_end(
+        self,
+        attempt: requeststate.Attempt,
+        reply: requeststate.Reply | None,
+        now: float,
+    ) -> None:
+        """Count the end of an attempt, with its answer if there is one."""
+        state = self._service(attempt.subrequest.service, now)
+        zone = state.figures(attempt.availability_zone)
+        zone.record_end(attempt.backend_id)
+        if reply is None:
+            return
+        if reply.load is not None:
+            zone.record_load(attempt.backend_id, reply.load, now)
+        if reply.not_run:
+            zone.record_refusal(attempt.backend_id, now)
+        elif reply.succeeded:
+            rank = attempt.subrequest.work.route.rank
+            zone.record_latency(rank, now - attempt.started_at, now)
+            state.answer_size.record(len(reply.body))
+
+    def forget(self, service: str, backend_id: str) -> None:
+        """Drop the reports of a backend server that is not listed."""
+        state = self._services_by_name.get(service)
+        if state is not None:
+            for zone in state.figures_by_zone.values():
+                zone.forget(backend_id)
+
+    def retain(self, services: set[str]) -> None:
+        """Drop the figures of services without attempts that no route names."""
+        for name, state in list(self._services_by_name.items()):
+            in_use = any(
+                zone.in_flight for zone in state.figures_by_zone.values()
+            )
+            is_queued = any(state.queued_by_rank.values())
+            if name not in services and not in_use and not is_queued:
+                self._services_by_name.pop(name)
+
+    # Results.
+
+    def decide(
+        self,
+        query: policy.Query,
+        free_by_zone: Mapping[str, Sequence[str]],
+        now: float,
+        *,
+        has_home: bool,
+    ) -> policy.Choice:
+        """Keep an attempt at home unless that is too slow for it."""
+        state = self._service(query.service, now)
+        if query.is_first:
+            state.overflow.record_arrival(query.rank, now)
+            self._note_change(query.service, state, now)
+        if not has_home:
+            return policy.Choice(
+                policy.Decision.MISSING, self._missing(state, free_by_zone, now)
+            )
+        home = free_by_zone.get(self._own_zone, ())
+        if query.is_hedge:
+            return _stay(self._for_hedge(state, home, now))
+        home_s = self._home_s(state, query, is_free=bool(home), now=now)
+        is_slow = now + home_s > _horizon(query, now)
+        if is_slow:
+            state.record_need(query, now)
+        elif not state.makes_room(query.rank, now):
+            return _stay(home)
+        away = self._away(state, query, free_by_zone, home_s, now)
+        if away:
+            state.overflow.spend()
+            return policy.Choice(
+                policy.Decision.OVERFLOW, away, exceeds_zone=True
+            )
+        if not is_slow and state.figures(self._own_zone).in_flight:
+            # An attempt that is in flight will end and ask again.
+            return policy.Choice(policy.Decision.WAIT, ())
+        return _stay(home, exceeds_zone=is_slow)
+
+    def shares_by_service(self) -> dict[str, float]:
+        """Return the share of each service that may leave now."""
+        return {
+            name: state.overflow.share
+            for name, state in self._services_by_name.items()
+        }
+
+    @property
+    def largest_share(self) -> float:
+        """The largest share of all services."""
+        return max(self.shares_by_service().values(), default=0)
+
+    def pop_changes(self) -> list[policy.ShareChange]:
+        """Return the changes of shares since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _service(self, name: str, now: float) -> servicestate.ServiceState:
+        state = self._services_by_name.get(name)
+        if state is None:
+            state = servicestate.ServiceState(self._settings.share, now)
+            self._services_by_name[name] = state
+        return state
+
+    def _home_s(
+        self,
+        state: servicestate.ServiceState,
+        query: policy.Query,
+        *,
+        is_free: bool,
+        now: float,
+    ) -> float:
+        """Return the expected time to an answer of the own zone."""
+        home = state.figures(self._own_zone)
+        latency_s = home.rank_latency_s(query.rank, now)
+        if latency_s is None:
+            latency_s = home.latency_s(now)
+        if latency_s is None:
+            return 0
+        expected_s = LATENCY_RESERVE * latency_s
+        if is_free:
+            return expected_s
+        ahead = 0 if query.is_queued else state.ahead(query.rank)
+        average_s = home.latency_s(now) or latency_s
+        # Attempts of this host that end in a second, less those for more
+        # urgent requests that arrive meanwhile.
+        ends_per_s = max(1, home.in_flight) / average_s
+        left_per_s = max(
+            MINIMUM_LEFT_SHARE * ends_per_s,
+            ends_per_s - state.overflow.urgent_rate(query.rank),
+        )
+        return expected_s + (ahead + 1) / left_per_s
+
+    def _for_hedge(
+        self, state: servicestate.ServiceState, home: Sequence[str], now: float
+    ) -> Sequence[str]:
+        """Return the backend servers of the own zone that may get a hedge."""
+        if not state.is_short(now):
+            return home
+        return state.figures(self._own_zone).without_queue(home, now)
+
+    def _away(
+        self,
+        state: servicestate.ServiceState,
+        query: policy.Query,
+        free_by_zone: Mapping[str, Sequence[str]],
+        home_s: float,
+        now: float,
+    ) -> Sequence[str]:
+        """Return the backend servers of another zone that is worth its cost.
+
+        Work that makes room is sent wherever its deadline can be met.
+        """
+        if not state.overflow.may_spend(query.rank):
+            return ()
+        within_s = query.deadline - now
+        if not state.makes_room(query.rank, now):
+            gain_s = self._settings.gain_s_per_kb * state.answer_size.average_kb
+            within_s = min(within_s, home_s - gain_s)
+        return self._choose_zone(state, query.rank, free_by_zone, within_s, now)
+
+    def _remote_s(
+        self,
+        state: servicestate.ServiceState,
+        zone: str,
+        rank: rules.Rank,
+        now: float,
+    ) -> float:
+        """Return the expected time to an answer of another zone.
+
+        A zone without a recent answer is expected to be as fast as the own one
+        was lately at its best.
+        """
+        latency_s = state.figures(zone).rank_latency_s(rank, now)
+        if latency_s is not None:
+            return LATENCY_RESERVE * latency_s
+        home = state.figures(self._own_zone)
+        lowest_s = home.lowest_latency_s(rank)
+        return LATENCY_RESERVE * lowest_s + self._settings.round_trip_s
+
+    def _choose_zone(
+        self,
+        state: servicestate.ServiceState,
+        rank: rules.Rank,
+        free_by_zone: Mapping[str, Sequence[str]],
+        within_s: float,
+        now: float,
+    ) -> Sequence[str]:
+        """Return the backend servers with room in one zone that is faster.
+
+        The zone is drawn in proportion to its room, so that hosts which decide
+        at once do not all choose the same.
+        """
+        found = [
+            (backend_ids, room)
+            for zone, free in free_by_zone.items()
+            if self._may_use(state, zone, rank, within_s, now)
+            for backend_ids, room in (state.figures(zone).with_room(free, now),)
+            if backend_ids
+        ]
+        if len(found) > 1:
+            choices, weights = zip(*found, strict=True)
+            return self._random.choices(choices, weights)[0]
+        return found[0][0] if found else ()
+
+    def _may_use(
+        self,
+        state: servicestate.ServiceState,
+        zone: str,
+        rank: rules.Rank,
+        within_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether another zone is open and probably answers in time."""
+        if zone == self._own_zone:
+            return False
+        remote_s = self._remote_s(state, zone, rank, now)
+        if MINIMUM_GAIN_FACTOR * remote_s >= within_s:
+            return False
+        return state.figures(zone).is_open(rank, now)
+
+    def _missing(
+        self,
+        state: servicestate.ServiceState,
+        free_by_zone: Mapping[str, Sequence[str]],
+        now: float,
+    ) -> Sequence[str]:
+        """Return where to send what the own zone can't serve at all."""
+        within_room = self._choose_zone(
+            state, rules.Rank.URGENT, free_by_zone, math.inf, now
+        )
+        if within_room:
+            return within_room
+        return [
+            backend_id for free in free_by_zone.values() for backend_id in free
+        ]
+
+    def _note_change(
+        self, service: str, state: servicestate.ServiceState, now: float
+    ) -> None:
+        """Note a share that began, ended or changed much."""
+        current, before = state.overflow.share, state.logged_share
+        if current == before:
+            return
+        if abs(current - before) >= LOGGED_CHANGE or not current or not before:
+            state.logged_share = current
+            home_s = state.figures(self._own_zone).latency_s(now)
+            self._changes.append(
+                policy.ShareChange(service, current, before, home_s)
+            )
+
+
+def create(settings: Any, random: random_module.Random) -> ZonePolicy | None:
+    """Return the policy of a host, None if the host does not use it.
+
+    Parameters
+    ----------
+    settings : dict
+        Checked settings of the host.
+    random : random.Random
+    """
+    zones = set(settings.get('availability_zones', ()))
+    own_zone = settings['host']['availability_zone']
+    leaving = settings.get('leave_zone', {})
+    if len(zones) <= 1 or not leaving.get('enabled', True):
+        return policy.NEAREST
+    defaults = Settings()
+    return ZonePolicy(
+        own_zone,
+        Settings(
+            overflow.ShareSettings(
+                leaving.get('max_share', defaults.share.maximum),
+                _seconds(leaving, 'grow_after_ms', defaults.share.grow_after_s),
+                _seconds(leaving, 'fall_after_ms', defaults.share.fall_after_s),
+            ),
+            _seconds(leaving, 'round_trip_ms', defaults.round_trip_s),
+            _seconds(leaving, 'gain_ms_per_kb', defaults.gain_s_per_kb),
+        ),
+        random,
+    )
+
+
+def _seconds(settings: Any, key: str, default_s: float) -> float:
+    return settings[key] / _MS if key in settings else default_s
+
+
+def _stay(home: Sequence[str], *, exceeds_zone: bool = False) -> policy.Choice:
+    """Return the choice of an attempt that does not leave."""
+    decision = policy.Decision.HOME if home else policy.Decision.WAIT
+    return policy.Choice(decision, home, exceeds_zone)
+
+
+def _horizon(query: policy.Query, now: float) -> float:
+    """Return until when an answer is in time.
+
+    Bulk work may take until its deadline, as may work whose target has passed.
+    """
+    if query.rank is rules.Rank.BULK or now >= query.target_at:
+        return query.deadline
+    return query.target_at
--- a/lab/worlds.py
+++ b/lab/worlds.py
@@ -20,7 +20,7 @@
     requeststate,
     routes,
 )
-from cardamomflow.zonespill import policy
+from cardamomflow.zonespill import overflowpolicy, policy
 from lab import (
     bounds,
     deployments,
@@ -127,7 +127,7 @@
         }
         self.samples: list[Sample] = []
         self.capacity = bounds.Capacity(deployment)
-        self.policies_by_zone: dict[str, list[policy.ZonePolicy]] = {}
+        self.policies_by_zone: dict[str, list[overflowpolicy.ZonePolicy]] = {}
         self._has_zone_policy = baseline == 'zones'
         central = planner.Planner(
             self.servers_by_id, deployment, random.Random(seed)
@@ -269,9 +269,9 @@
         """Return the decisions of the product."""
         zone_policy: policy.Policy = policy.NEAREST
         if self._has_zone_policy:
-            zone_policy = policy.ZonePolicy(
+            zone_policy = overflowpolicy.ZonePolicy(
                 zone,
-                policy.Settings(
+                overflowpolicy.Settings(
                     round_trip_s=2 * self.deployment.between_zones_s
                 ),
                 generator,
--- a/lab/zonetraces.py
+++ b/lab/zonetraces.py
@@ -39,7 +39,7 @@
         Share of the requests answered within their target, by the zone of the
         caller and the kind.
     answered : dict of str to float
-        Share of the requests of a kind that were answered before their deadline.
+        Share of the requests of a kind that were answered at all.
     calls : dict of (str, str) to int
         Calls from one zone to another. A call and its answer have the same size
         in all runs, so the ratio of two runs is the ratio of their bytes.
