--- a/cardamomflow/zonespill/figures.py
+++ b/cardamomflow/zonespill/figures.py
@@ -15,6 +15,7 @@
 LATENCY_WEIGHT = 0.1
 # A latency without a new answer for this time in seconds is forgotten.
 LATENCY_KEPT_S = 10.0
+LATENCY_DECAY_S = 2.0
 # Time in seconds in which the lowest average follows a lasting slowdown.
 LOWEST_RISE_S = 30.0
 # Time in seconds for which a load report counts. Servers that are nearly full
@@ -79,17 +80,25 @@
             self._average_s = latency_s
             self.lowest_s = latency_s
         else:
-            self._average_s += LATENCY_WEIGHT * (latency_s - self._average_s)
+            weight = -math.expm1(-max(0.0, elapsed_s) / LATENCY_DECAY_S)
+            weight = max(LATENCY_WEIGHT, weight)
+            self._average_s += weight * (latency_s - self._average_s)
             rise = min(1.0, max(0.0, elapsed_s) / LOWEST_RISE_S)
             self.lowest_s += rise * (self._average_s - self.lowest_s)
             self.lowest_s = min(self.lowest_s, self._average_s)
         self._updated_at = now
 
     def read(self, now: float) -> float | None:
-        """Return the average in seconds, None if it is too old."""
-        if now - self._updated_at > LATENCY_KEPT_S:
+        """Return the average in seconds, None if it is too old.
+
+        Without answers it falls to the lowest one, so that a zone which all
+        work has left is tried again.
+        """
+        age_s = now - self._updated_at
+        if age_s > LATENCY_KEPT_S:
             return None
-        return self._average_s
+        decay = math.exp(-age_s / LATENCY_DECAY_S)
+        return self.lowest_s + decay * (self._average_s - self.lowest_s)
 
 
 class ZoneFigures:
--- a/cardamomflow/zonespill/overflow.py
+++ b/cardamomflow/zonespill/overflow.py
@@ -13,7 +13,8 @@
 # Time in seconds over which requests are counted. Shorter times make the share
 # of a host with 20 requests/s vary by half of its value.
 COUNT_DECAY_S = 0.5
-# Time without a request that needs another zone after which an overload ends.
+# Time in seconds after which an overload ends if several requests arrive in it
+# and none needs another zone.
 GAP_S = 0.15
 # Difference between the need and the share that is no change.
 BAND = 0.02
@@ -64,20 +65,23 @@
         self._need_began_at = math.inf
         self._needed_at = -math.inf
         self._below_since = math.inf
+        self._arrivals_since_need: float = math.inf
 
     def record_arrival(self, rank: rules.Rank, now: float) -> None:
         """Count a request and earn its part of a credit."""
         if now > self._counted_at:
             self._advance(now)
         self._arrivals_by_rank[rank] += 1
+        self._arrivals_since_need += 1
         if self.share:
             self._credits = min(MAXIMUM_CREDITS, self._credits + self.share)
 
     def record_need(self, now: float) -> None:
         """Count a request that the own zone can't serve in time."""
-        if now - self._needed_at > GAP_S:
+        if not self._is_needed(now):
             self._need_began_at = now
         self._needed_at = now
+        self._arrivals_since_need = 0
         self._needs += 1
 
     def may_spend(self, rank: rules.Rank) -> bool:
@@ -110,8 +114,7 @@
 
     def _update(self, need: float, elapsed_s: float, now: float) -> None:
         """Move the share towards the need that has lasted long enough."""
-        is_needed = now - self._needed_at <= GAP_S
-        floor = need if is_needed else 0
+        floor = need if self._is_needed(now) else 0
         if floor > self.share + BAND:
             self._below_since = math.inf
             if now - self._need_began_at >= self._settings.grow_after_s:
@@ -126,6 +129,14 @@
         else:
             self._below_since = math.inf
 
+    def _is_needed(self, now: float) -> bool:
+        """Return whether the overload lasts.
+
+        At a low rate, requests that each need to leave come seldom.
+        """
+        is_recent = now - self._needed_at <= GAP_S
+        return is_recent or self._arrivals_since_need <= 1
+
     def _fall(self, floor: float, elapsed_s: float) -> None:
         self.share = max(floor, self.share - FALL_PER_S * elapsed_s)
         if not self.share:
--- a/cardamomflow/zonespill/overflowpolicy.py
+++ b/cardamomflow/zonespill/overflowpolicy.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from cardamomflow import requeststate, rules
-from cardamomflow.zonespill import figures, overflow, policy, servicestate
+from cardamomflow.zonespill import overflow, policy, servicestate
 
 # Time that is planned for an attempt, as a multiple of the average latency. At
 # the spread of work in the lab, 0.35, a tenth of the requests takes longer.
--- a/cardamomflow/zonespill/servicestate.py
+++ b/cardamomflow/zonespill/servicestate.py
@@ -47,6 +47,7 @@
         return now - max(self.needed_at, self.bulk_needed_at) <= SHORT_S
 
     def figures(self, zone: str) -> figures.ZoneFigures:
+        """Return the figures of a zone."""
         found = self.figures_by_zone.get(zone)
         if found is None:
             found = figures.ZoneFigures()
