--- /dev/null
+++ b/bench/zonespill.py
@@ -0,0 +1,177 @@
+"""What leaves a zone that runs short, beside a central planner.
+
+Bounds: docs/design/work-2026-12-06.md, part D. Calls between zones stand for
+bytes: a call and its answer have the same size in all runs. The traces run with
+2 hosts that call a service in each zone, as the owners of large queries do, and
+with 5. Command: `python -m bench.run zonespill`; it takes about two minutes.
+"""
+
+import random
+import statistics
+import time
+from collections.abc import Iterable
+
+from bench import result
+from cardamomflow import requeststate, rules
+from cardamomflow.zonespill import overflowpolicy, policy
+from lab import zonetraces
+
+SEEDS = (1, 2, 3)
+HOSTS_PER_ZONE = (2, 5)
+# Difference to the planner, its bytes, and the time of a decision.
+MAXIMUM_LOSS = 0.02
+MAXIMUM_BYTES_RATIO = 1.1
+MAXIMUM_DECISION_US = 5.0
+DECISIONS = 20_000
+# The design size: 65,000 queries/s over 420 hosts, each to every service.
+INTERVAL_S = 420 / 65_000
+_US = 1e6
+_ZONES = {zone: [f'{zone}{number}' for number in range(4)] for zone in 'abcd'}
+
+
+def run() -> list[result.Result]:
+    """Run the traces and time the decisions."""
+    figures = []
+    for hosts in HOSTS_PER_ZONE:
+        figures.extend(_half_lost(hosts))
+        figures.append(_calm(hosts))
+    figures.extend(_others())
+    figures.append(_decision('calm', is_short=False))
+    figures.append(_decision('short', is_short=True))
+    return figures
+
+
+def _half_lost(hosts: int) -> list[result.Result]:
+    by_decisions = {
+        decisions: zonetraces.run_all(
+            zonetraces.Run('half_lost', decisions, seed, hosts)
+            for seed in SEEDS
+        )
+        for decisions in (
+            zonetraces.POLICY,
+            zonetraces.PLANNER,
+            zonetraces.BY_WAIT,
+        )
+    }
+    urgent = {
+        decisions: _mean(one.urgent for one in found)
+        for decisions, found in by_decisions.items()
+    }
+    calls = {
+        decisions: _mean(one.calls_between_zones for one in found)
+        for decisions, found in by_decisions.items()
+    }
+    name = f'zonespill.half_lost.{hosts}_hosts'
+    return [
+        result.Result(
+            f'{name}.urgent_loss',
+            urgent[zonetraces.PLANNER] - urgent[zonetraces.POLICY],
+            'share in time less than the planner',
+            MAXIMUM_LOSS,
+            'at_most',
+            f'planner in time: {urgent[zonetraces.PLANNER]:.3f};'
+            f' by wait: {urgent[zonetraces.BY_WAIT]:.3f}',
+        ),
+        result.Result(
+            f'{name}.bytes',
+            calls[zonetraces.POLICY] / calls[zonetraces.PLANNER],
+            "bytes between zones of the planner's",
+            MAXIMUM_BYTES_RATIO,
+            'at_most',
+            f'planner: {calls[zonetraces.PLANNER]:.0f} calls;'
+            f' by wait: {calls[zonetraces.BY_WAIT]:.0f}',
+        ),
+    ]
+
+
+def _mean(values: Iterable[float]) -> float:
+    return statistics.fmean(values)
+
+
+def _calm(hosts: int) -> result.Result:
+    found = zonetraces.run_all(
+        zonetraces.Run('calm', zonetraces.POLICY, seed, hosts) for seed in SEEDS
+    )
+    return result.Result(
+        f'zonespill.calm.{hosts}_hosts.calls',
+        sum(one.calls_between_zones for one in found),
+        'calls between zones',
+        0,
+        'at_most',
+        'no shard is missing in a zone',
+    )
+
+
+def _others() -> list[result.Result]:
+    """Return the other traces, which have no bound of their own."""
+    names = [
+        name
+        for name in zonetraces.TRACES_BY_NAME
+        if name not in {'half_lost', 'calm'}
+    ]
+    wanted = [
+        zonetraces.Run(name, decisions, SEEDS[0])
+        for name in names
+        for decisions in (zonetraces.POLICY, zonetraces.PLANNER)
+    ]
+    found = zonetraces.run_all(wanted)
+    figures = []
+    for name, ours, planned in zip(names, found[::2], found[1::2], strict=True):
+        figures.extend(_both(name, ours, planned))
+    return figures
+
+
+def _both(
+    name: str, ours: zonetraces.ZoneOutcome, planned: zonetraces.ZoneOutcome
+) -> list[result.Result]:
+    return [
+        result.Result(
+            f'zonespill.{name}.urgent',
+            ours.urgent,
+            'share in time',
+            None,
+            'at_least',
+            f'planner: {planned.urgent:.3f}',
+        ),
+        result.Result(
+            f'zonespill.{name}.calls',
+            ours.calls_between_zones,
+            'calls between zones',
+            None,
+            'at_most',
+            f'planner: {planned.calls_between_zones}',
+        ),
+    ]
+
+
+def _decision(name: str, *, is_short: bool) -> result.Result:
+    """Time decisions with 4 zones of 4 backend servers each."""
+    decided = overflowpolicy.ZonePolicy(
+        'a', overflowpolicy.Settings(), random.Random(1)
+    )
+    now = 0.0
+    state = decided._service('s', now)  # noqa: SLF001
+    for zone in 'abcd':
+        for backend_id in _ZONES[zone]:
+            state.figures(zone).record_load(
+                backend_id, requeststate.Load(1, 0, 8), now
+            )
+    took_s = 0.0
+    for number in range(DECISIONS):
+        now += INTERVAL_S
+        latency_s = 1.0 if is_short and number > DECISIONS // 10 else 0.01
+        state.figures('a').record_latency(rules.Rank.URGENT, latency_s, now)
+        query = policy.Query(
+            's', rules.Rank.URGENT, now + 0.1, now + 1, is_first=True
+        )
+        started = time.perf_counter()
+        decided.decide(query, _ZONES, now, has_home=True)
+        took_s += time.perf_counter() - started
+    return result.Result(
+        f'zonespill.decision.{name}',
+        took_s / DECISIONS * _US,
+        'us',
+        MAXIMUM_DECISION_US,
+        'at_most',
+        'mean; 4 zones of 4 backend servers',
+    )
--- a/cardamomflow/zonespill/figures.py
+++ b/cardamomflow/zonespill/figures.py
@@ -16,6 +16,8 @@
 # A latency without a new answer for this time in seconds is forgotten.
 LATENCY_KEPT_S = 10.0
 LATENCY_DECAY_S = 2.0
+# A latency of this age in seconds counts in full.
+RECENT_S = 0.1
 # Time in seconds in which the lowest average follows a lasting slowdown.
 LOWEST_RISE_S = 30.0
 # Time in seconds for which a load report counts. Servers that are nearly full
@@ -95,9 +97,11 @@
         work has left is tried again.
         """
         age_s = now - self._updated_at
+        if age_s < RECENT_S:
+            return self._average_s
         if age_s > LATENCY_KEPT_S:
             return None
-        decay = math.exp(-age_s / LATENCY_DECAY_S)
+        decay = math.exp((RECENT_S - age_s) / LATENCY_DECAY_S)
         return self.lowest_s + decay * (self._average_s - self.lowest_s)
 
 
@@ -168,15 +172,19 @@
         self._load += weight * (reported - self._load)
         self._loaded_at = max(taken_at, self._loaded_at)
 
+    def is_full(self, rank: rules.Rank) -> bool:
+        """Return whether the zone has no room for a rank by its mean load."""
+        return self._load >= LARGEST_LOAD_BY_RANK[rank]
+
     def is_open(self, rank: rules.Rank, now: float) -> bool:
         """Return whether the zone may get work of a rank from another zone.
 
         A zone that reported to be full gets single requests, more seldom the
         fuller it is.
         """
-        excess = self._load / LARGEST_LOAD_BY_RANK[rank] - 1
-        if excess < 0:
+        if not self.is_full(rank):
             return True
+        excess = self._load / LARGEST_LOAD_BY_RANK[rank] - 1
         probe_after_s = min(MAXIMUM_PROBE_S, PROBE_S * excess)
         is_due = now - self._loaded_at >= probe_after_s
         return is_due and not self.in_flight
--- a/cardamomflow/zonespill/overflow.py
+++ b/cardamomflow/zonespill/overflow.py
@@ -13,6 +13,9 @@
 # Time in seconds over which requests are counted. Shorter times make the share
 # of a host with 20 requests/s vary by half of its value.
 COUNT_DECAY_S = 0.5
+# Time in seconds between changes of the share. Changing it with each request
+# takes as long as the rest of a decision.
+COUNT_INTERVAL_S = 0.02
 # Time in seconds after which an overload ends if several requests arrive in it
 # and none needs another zone.
 GAP_S = 0.15
@@ -69,7 +72,7 @@
 
     def record_arrival(self, rank: rules.Rank, now: float) -> None:
         """Count a request and earn its part of a credit."""
-        if now > self._counted_at:
+        if now - self._counted_at >= COUNT_INTERVAL_S:
             self._advance(now)
         self._arrivals_by_rank[rank] += 1
         self._arrivals_since_need += 1
--- a/cardamomflow/zonespill/overflowpolicy.py
+++ b/cardamomflow/zonespill/overflowpolicy.py
@@ -21,9 +21,17 @@
 # The own zone has to take this many times longer than another one, so that
 # figures which are a little too high or too low send nothing out.
 MINIMUM_GAIN_FACTOR = 1.25
+# Time in seconds for which the open zones and their room are kept. Listing them
+# takes as long as several decisions.
+OPTIONS_KEPT_S = 0.2
 # A share that has changed by less than this since the last line is not logged.
 LOGGED_CHANGE = 0.1
 _MS = 1000
+# Looking up a member of an enumeration takes a twentieth of a decision.
+_BULK = rules.Rank.BULK
+_HOME = policy.Decision.HOME
+_WAIT = policy.Decision.WAIT
+_OVERFLOW = policy.Decision.OVERFLOW
 
 
 class Settings(NamedTuple):
@@ -154,12 +162,10 @@
         away = self._away(state, query, free_by_zone, home_s, now)
         if away:
             state.overflow.spend()
-            return policy.Choice(
-                policy.Decision.OVERFLOW, away, exceeds_zone=True
-            )
-        if not is_slow and state.figures(self._own_zone).in_flight:
+            return policy.Choice(_OVERFLOW, away, exceeds_zone=True)
+        if not is_slow and state.home.in_flight:
             # An attempt that is in flight will end and ask again.
-            return policy.Choice(policy.Decision.WAIT, ())
+            return policy.Choice(_WAIT, ())
         return _stay(home, exceeds_zone=is_slow)
 
     def shares_by_service(self) -> dict[str, float]:
@@ -182,7 +188,9 @@
     def _service(self, name: str, now: float) -> servicestate.ServiceState:
         state = self._services_by_name.get(name)
         if state is None:
-            state = servicestate.ServiceState(self._settings.share, now)
+            state = servicestate.ServiceState(
+                self._settings.share, self._own_zone, now
+            )
             self._services_by_name[name] = state
         return state
 
@@ -195,7 +203,7 @@
         now: float,
     ) -> float:
         """Return the expected time to an answer of the own zone."""
-        home = state.figures(self._own_zone)
+        home = state.home
         latency_s = home.rank_latency_s(query.rank, now)
         if latency_s is None:
             latency_s = home.latency_s(now)
@@ -221,7 +229,7 @@
         """Return the backend servers of the own zone that may get a hedge."""
         if not state.is_short(now):
             return home
-        return state.figures(self._own_zone).without_queue(home, now)
+        return state.home.without_queue(home, now)
 
     def _away(
         self,
@@ -258,7 +266,7 @@
         latency_s = state.figures(zone).rank_latency_s(rank, now)
         if latency_s is not None:
             return LATENCY_RESERVE * latency_s
-        home = state.figures(self._own_zone)
+        home = state.home
         lowest_s = home.lowest_latency_s(rank)
         return LATENCY_RESERVE * lowest_s + self._settings.round_trip_s
 
@@ -275,33 +283,63 @@
         The zone is drawn in proportion to its room, so that hosts which decide
         at once do not all choose the same.
         """
-        found = [
-            (backend_ids, room)
-            for zone, free in free_by_zone.items()
-            if self._may_use(state, zone, rank, within_s, now)
-            for backend_ids, room in (state.figures(zone).with_room(free, now),)
-            if backend_ids
-        ]
-        if len(found) > 1:
-            choices, weights = zip(*found, strict=True)
-            return self._random.choices(choices, weights)[0]
-        return found[0][0] if found else ()
-
-    def _may_use(
+        options = state.options_by_rank[rank]
+        if now - options.listed_at >= OPTIONS_KEPT_S:
+            options = self._list_options(state, rank, free_by_zone, now)
+            state.options_by_rank[rank] = options
+        chosen = self._draw(options.zones, within_s)
+        if chosen is None:
+            return ()
+        if chosen.is_probe and state.figures(chosen.zone).in_flight:
+            return ()
+        free = free_by_zone.get(chosen.zone, ())
+        return [each for each in free if each in chosen.backend_ids]
+
+    def _draw(
+        self, options: Sequence[servicestate.Option], within_s: float
+    ) -> servicestate.Option | None:
+        """Draw a zone that is fast enough, in proportion to its room."""
+        found = []
+        total: float = 0
+        for option in options:
+            if option.needed_s < within_s:
+                total += option.room
+                found.append(option)
+        left = self._random.random() * total
+        for drawn in found:
+            left -= drawn.room
+            if left < 0:
+                return drawn
+        return found[-1] if found else None
+
+    def _list_options(
         self,
         state: servicestate.ServiceState,
-        zone: str,
         rank: rules.Rank,
-        within_s: float,
+        free_by_zone: Mapping[str, Sequence[str]],
         now: float,
-    ) -> bool:
-        """Return whether another zone is open and probably answers in time."""
-        if zone == self._own_zone:
-            return False
-        remote_s = self._remote_s(state, zone, rank, now)
-        if MINIMUM_GAIN_FACTOR * remote_s >= within_s:
-            return False
-        return state.figures(zone).is_open(rank, now)
+    ) -> servicestate.Options:
+        """Return the other zones that are open to a rank and have room."""
+        options = []
+        for zone, free in free_by_zone.items():
+            remote = state.figures(zone)
+            if zone == self._own_zone or not remote.is_open(rank, now):
+                continue
+            backend_ids, room = remote.with_room(free, now)
+            if backend_ids:
+                needed_s = MINIMUM_GAIN_FACTOR * self._remote_s(
+                    state, zone, rank, now
+                )
+                options.append(
+                    servicestate.Option(
+                        zone,
+                        needed_s,
+                        room,
+                        frozenset(backend_ids),
+                        remote.is_full(rank),
+                    )
+                )
+        return servicestate.Options(now, options)
 
     def _missing(
         self,
@@ -328,14 +366,14 @@
             return
         if abs(current - before) >= LOGGED_CHANGE or not current or not before:
             state.logged_share = current
-            home_s = state.figures(self._own_zone).latency_s(now)
+            home_s = state.home.latency_s(now)
             self._changes.append(
                 policy.ShareChange(service, current, before, home_s)
             )
 
 
-def create(settings: Any, random: random_module.Random) -> ZonePolicy | None:
-    """Return the policy of a host, None if the host does not use it.
+def create(settings: Any, random: random_module.Random) -> policy.Policy:
+    """Return the policy that the settings of a host ask for.
 
     Parameters
     ----------
@@ -370,7 +408,7 @@
 
 def _stay(home: Sequence[str], *, exceeds_zone: bool = False) -> policy.Choice:
     """Return the choice of an attempt that does not leave."""
-    decision = policy.Decision.HOME if home else policy.Decision.WAIT
+    decision = _HOME if home else _WAIT
     return policy.Choice(decision, home, exceeds_zone)
 
 
@@ -379,6 +417,6 @@
 
     Bulk work may take until its deadline, as may work whose target has passed.
     """
-    if query.rank is rules.Rank.BULK or now >= query.target_at:
+    if query.rank is _BULK or now >= query.target_at:
         return query.deadline
     return query.target_at
--- a/lab/main.py
+++ b/lab/main.py
@@ -10,9 +10,17 @@
 
 import click
 
-from lab import deployments, experiments, reports, scenarios
+from lab import (
+    deployments,
+    experiments,
+    reports,
+    scenarios,
+    zonereport,
+    zonetraces,
+)
 
 _SCENARIO = click.Choice(list(scenarios.SCENARIOS_BY_NAME))
+_TRACE = click.Choice(list(zonetraces.TRACES_BY_NAME))
 _DEPLOYMENT = click.Choice(list(deployments.DEPLOYMENTS_BY_NAME))
 
 
@@ -84,6 +92,34 @@
         reports.draw(outcomes, decisions, plot)
 
 
+@main.command(
+    'zones',
+    help=(
+        'Run traces in which a zone runs short, and compare what leaves it'
+        ' with a central planner.'
+        '\n\n\b\nExample:\n'
+        '  cardamomflow-lab zones half_lost --plot share.png'
+    ),
+)
+@click.argument('names', nargs=-1, type=_TRACE, metavar='[TRACE]...')
+@click.option('--seed', default=1, show_default=True)
+@click.option('--hosts', default=2, show_default=True, help='Hosts of a zone.')
+@click.option('--plot', type=click.Path(path_type=pathlib.Path))
+def run_zones(
+    names: tuple[str, ...], seed: int, hosts: int, plot: pathlib.Path | None
+) -> None:
+    """Run the traces of zones."""
+    wanted = [
+        zonetraces.Run(name, decisions, seed, hosts)
+        for name in names or zonetraces.TRACES_BY_NAME
+        for decisions in (zonetraces.POLICY, zonetraces.PLANNER)
+    ]
+    found = list(zip(wanted, zonetraces.run_all(wanted), strict=True))
+    click.echo('\n'.join(zonereport.lines(found)))
+    if plot is not None:
+        zonereport.draw(found, plot)
+
+
 def _run(wanted: list[experiments.Case]) -> list[experiments.Outcome]:
     with click.progressbar(length=len(wanted), file=sys.stderr) as progress:
         return experiments.run_all(wanted, lambda: progress.update(1))
--- a/lab/zonetraces.py
+++ b/lab/zonetraces.py
@@ -6,11 +6,12 @@
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from concurrent import futures
 from typing import NamedTuple
 
 from cardamomflow import rules
-from lab import deployments, servers, worlds
+from lab import deployments, experiments, servers, worlds
 
 POLICY = 'zones'
 PLANNER = 'planner'
@@ -24,12 +25,22 @@
 SLOW_FACTOR = 8.0
 SAMPLE_S = 0.1
 ZONES = ('a', 'b', 'c')
+URGENT_KIND = 'check'
 SERVERS_PER_ZONE = 4
 _SERVICES = ('lots', 'prices')
 _USUAL_LOAD = 0.7
 _URGENT, _STANDARD, _BULK = rules.Rank
 
 
+class Run(NamedTuple):
+    """One run of a trace; see `run`."""
+
+    name: str
+    decisions: str
+    seed: int
+    hosts_per_zone: int = 2
+
+
 class ZoneOutcome(NamedTuple):
     """Figures of a run.
 
@@ -56,6 +67,11 @@
     shares: dict[str, list[tuple[float, float]]]
     largest_load: dict[str, float]
 
+    @property
+    def urgent(self) -> float:
+        """Share of urgent requests of the zone in trouble that are in time."""
+        return self.in_target[ZONES[0], URGENT_KIND]
+
     @property
     def calls_between_zones(self) -> int:
         """Calls from any zone to another."""
@@ -198,16 +214,41 @@
 }
 
 
+def run_all(wanted: Iterable[Run]) -> list[ZoneOutcome]:
+    """Run several traces on several processors."""
+    with futures.ProcessPoolExecutor(experiments.WORKERS) as pool:
+        return list(pool.map(run_one, wanted))
+
+
+def run_one(wanted: Run) -> ZoneOutcome:
+    """Run a trace."""
+    return run(*wanted)
+
+
 def run(
-    name: str, decisions: str, seed: int, hosts_per_zone: int = 2
+    name: str,
+    decisions: str,
+    seed: int,
+    hosts_per_zone: int = 2,
+    length_s: float = LENGTH_S,
 ) -> ZoneOutcome:
-    """Run a trace."""
+    """Run a trace.
+
+    Parameters
+    ----------
+    name : str
+    decisions : str
+        `POLICY`, `PLANNER` or `BY_WAIT`.
+    seed, hosts_per_zone : int
+    length_s : float
+        A shorter run may end before the trouble does.
+    """
     world = worlds.World(deployment(hosts_per_zone), seed, decisions)
     TRACES_BY_NAME[name](world)
     shares: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
     loads: dict[str, list[float]] = collections.defaultdict(list)
-    _sample(world, lambda: _note(world, shares, loads))
-    world.run(LENGTH_S)
+    _sample(world, lambda: _note(world, shares, loads), length_s)
+    world.run(length_s)
     calls: collections.Counter[tuple[str, str]] = collections.Counter()
     for host in world.hosts:
         for zone, count in host.calls_by_remote_zone.items():
@@ -229,10 +270,12 @@
     )
 
 
-def _sample(world: worlds.World, note: Callable[[], None]) -> None:
+def _sample(
+    world: worlds.World, note: Callable[[], None], length_s: float
+) -> None:
     note()
-    if world.clock.now < LENGTH_S:
-        world.clock.after(SAMPLE_S, _sample, world, note)
+    if world.clock.now < length_s:
+        world.clock.after(SAMPLE_S, _sample, world, note, length_s)
 
 
 def _note(
--- a/tests/test_zonespill.py
+++ b/tests/test_zonespill.py
@@ -467,9 +467,9 @@
     def test_cancelled_and_failed_attempts_end(self):
         """Guards against calls that seem to be in flight for ever."""
         world = ZoneWorld()
-        _, (first,) = world.start(attempts=1)
+        first = world.start(attempts=1)[1][0]
         world.dispatcher.on_cancellation(first, world.now)
-        _, (second,) = world.start(attempts=1)
+        second = world.start(attempts=1)[1][0]
         world.dispatcher.on_failure(
             second, limits.CallOutcome.TIMEOUT, world.now
         )
