--- a/cardamomflow/accounts/fairqueue.py
+++ b/cardamomflow/accounts/fairqueue.py
@@ -61,10 +61,10 @@
 class _RankQueue:
     """Queued items of one rank."""
 
-    def __init__(self, is_settled: Callable[[Any], bool]) -> None:
+    def __init__(self, discard_settled: Callable[[Any], bool]) -> None:
         self.length = 0
         self._busy_since: float = 0
-        self._is_settled = is_settled
+        self._discard_settled = discard_settled
         self._virtual_time: float = 0
         # Flows that were served since the queue was last empty.
         self._flows_by_name: dict[str | None, _Flow] = {}
@@ -145,7 +145,7 @@
         self._busy_since = now
 
     def _drop_settled(self, flow: _Flow) -> None:
-        while flow.items and self._is_settled(flow.items[0]):
+        while flow.items and self._discard_settled(flow.items[0]):
             flow.items.popleft()
             self.length -= 1
 
@@ -153,17 +153,18 @@
 class FairQueue:
     """Queued items of one service."""
 
-    def __init__(self, is_settled: Callable[[Any], bool]) -> None:
+    def __init__(self, discard_settled: Callable[[Any], bool]) -> None:
         """Create an empty queue.
 
         Parameters
         ----------
-        is_settled : callable
-            Takes an item and returns whether it no longer needs its turn.
+        discard_settled : callable
+            Takes an item and returns whether it no longer needs its turn; the
+            queue then removes it, and does not call it again for the item.
         """
         # The most urgent rank comes first.
         self._queues_by_rank = {
-            rank: _RankQueue(is_settled) for rank in sorted(rules.Rank)
+            rank: _RankQueue(discard_settled) for rank in sorted(rules.Rank)
         }
         self._drain = estimates.DrainRate()
 
--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -21,6 +21,7 @@
     requeststate,
 )
 from cardamomflow.platform import backendlink
+from cardamomflow.zonespill import overflowpolicy, traffic
 
 _MS = 1000
 _EVENTS_BY_KIND = {
@@ -43,6 +44,12 @@
             backend_directory,
             process_context.settings['host']['availability_zone'],
             process_context.random,
+            overflowpolicy.create(
+                process_context.settings, process_context.random
+            ),
+        )
+        self._zone_traffic = traffic.ZoneTraffic(
+            process_context, self.dispatcher.zone_policy
         )
         self.transport = backendlink.Transport(
             backend_directory.backends_by_id,
@@ -118,6 +125,7 @@
     ) -> None:
         """Handle a complete answer."""
         self.dispatcher.on_reply(attempt, reply, self._clock())
+        self._zone_traffic.record_answer(attempt, reply)
         await self._report_notices()
         await self.wake(attempt.subrequest.work)
 
@@ -149,6 +157,7 @@
 
     async def send(self) -> None:
         """Send the attempts that were decided, and end refused requests."""
+        self._zone_traffic.report_changes()
         for work in self.dispatcher.queues.pop_refused():
             changed = self._changed_by_work.get(work)
             if changed is not None:
@@ -157,6 +166,7 @@
             is_first = attempt.backend_id == attempt.subrequest.attempted_ids[0]
             kind = 'first' if is_first else 'further'
             self._metrics.increment(f'host.sent.{kind}')
+            self._zone_traffic.record_attempt(attempt)
             await self.transport.send(attempt)
 
     async def _report_notices(self, **fields: str) -> None:
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -25,6 +25,7 @@
     rules,
     servicequeues,
 )
+from cardamomflow.zonespill import policy, selection
 
 # A hedge that starts after this share of the target would miss the target.
 LATEST_HEDGE_SHARE = 0.3
@@ -43,6 +44,7 @@
         backends: directory.Directory,
         availability_zone: str,
         random: random_module.Random,
+        zone_policy: policy.Policy = policy.NEAREST,
     ) -> None:
         """Create a dispatcher without routes.
 
@@ -53,10 +55,16 @@
         availability_zone : str
             Zone of this host, which is preferred.
         random : random.Random
+        zone_policy : policy.Policy
+            Decides which attempts leave the zone.
         """
+        self.zone_policy = zone_policy
         self._directory = backends
         self._zone = availability_zone
         self._chooser = replicas.ReplicaChooser(random)
+        self._zones = selection.ZoneSelection(
+            backends, availability_zone, self._chooser, zone_policy
+        )
         self.notices = backendnotices.BackendNotices(backends, random)
         # Used only for hedge delays: budgets limit extra load by service.
         self._hedges = hedging.HedgePolicy(
@@ -68,7 +76,7 @@
         self.occupancy = occupancy.Occupancy()
         self.reachability = reachability.Reachability()
         self._budgets = extraload.ServiceBudgets()
-        self.queues = servicequeues.ServiceQueues()
+        self.queues = servicequeues.ServiceQueues(zone_policy)
         # Services whose parts may be requested from other hosts.
         self.handed_over_services: frozenset[str] = frozenset()
         self._table: routes.RouteTable | None = None
@@ -80,6 +88,7 @@
         self._table = table
         self.queues.apply(table)
         self._budgets.retain(table.services())
+        self.zone_policy.retain(table.services())
         self.update_sharing(self._sharing)
 
     def update_sharing(self, sharing: extraload.FleetBudget) -> None:
@@ -203,7 +212,7 @@
             # Before the latency of the same answer, which it scales.
             self._chooser.record_load(attempt.backend_id, reply.load, now)
             self.occupancy.record_load(attempt.backend_id, reply.load)
-        self._end_attempt(attempt, reply.outcome, now)
+        self._end_attempt(attempt, reply.outcome, now, reply)
         if reply.not_run:
             self.occupancy.record_refused_work(attempt.backend_id, now)
         else:
@@ -249,6 +258,7 @@
             if not change.usable and self.occupancy.is_idle(change.backend_id):
                 self._chooser.remove(change.backend_id)
                 self.occupancy.forget(change.backend_id)
+                self.zone_policy.forget(change.service, change.backend_id)
             self._send_queued(change.service, now)
 
     def _process_reply(
@@ -273,9 +283,11 @@
         attempt: requeststate.Attempt,
         outcome: limits.CallOutcome,
         now: float,
+        reply: requeststate.Reply | None = None,
     ) -> None:
         backend_id = attempt.backend_id
         attempt.end(outcome, now)
+        self.zone_policy.record_end(attempt, reply, now)
         self.occupancy.record_end(backend_id)
         latency_s = now - attempt.started_at
         self._chooser.record_end(backend_id, outcome, latency_s, now)
@@ -321,11 +333,14 @@
             now,
             self.occupancy.is_idle,
         )
+        choice = self._zones.choose(
+            subrequest, candidates, available, now, is_hedge=True
+        )
         if (
-            available
+            choice.backend_ids
             and self._budgets.for_service(subrequest.service).withdraw()
         ):
-            self._send_to_one(subrequest, available, now)
+            self._send_to_one(subrequest, choice, now)
 
     def _send(
         self,
@@ -342,22 +357,23 @@
         available = self.notices.accepting_more(
             available, now, self.occupancy.is_idle
         )
-        return self._send_to_one(subrequest, available, now)
+        choice = self._zones.choose(subrequest, candidates, available, now)
+        return self._send_to_one(subrequest, choice, now)
 
     def _send_to_one(
         self,
         subrequest: requeststate.Subrequest,
-        available: Sequence[str],
+        choice: policy.Choice,
         now: float,
     ) -> bool:
-        near = self._directory.in_zone(available, self._zone)
-        backend_id = self._chooser.choose(available, now, near=near)
+        backend_id = self._zones.draw(choice, now)
         if backend_id is None:
             return False
         zone = self._directory.backends_by_id[backend_id].availability_zone
         self.reachability.record_request(zone, backend_id, now)
         self.occupancy.record_start(backend_id)
         self._chooser.record_start(backend_id, now)
+        self.zone_policy.record_start(subrequest.service, zone, backend_id, now)
         self._new_attempts.append(subrequest.add_attempt(backend_id, zone, now))
         return True
 
@@ -387,7 +403,7 @@
             and backend_id not in subrequest.unreachable_ids
             and self._may_get_work(backend_id, now)
         ]
-        return self.occupancy.prefer_accepting(backends, now)
+        return self._zones.prefer_accepting(self.occupancy, backends, now)
 
     def _hedge_delay_s(self, route: routes.Route) -> float:
         latest_s = route.target_s * LATEST_HEDGE_SHARE
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -45,6 +45,7 @@
     EVACUATION_ENDED = 'evacuation ended'
     ZONE_SILENT = 'zone silent'
     ZONE_ANSWERS = 'zone answers'
+    ZONE_SHARE = 'zone share changed'
     CUT_OFF = 'cut off'
     CONNECTED_AGAIN = 'connected again'
 
--- a/cardamomflow/servicequeues.py
+++ b/cardamomflow/servicequeues.py
@@ -9,6 +9,7 @@
 from cardamomflow import errors, estimates, requeststate, routes
 from cardamomflow.accounts import fairqueue
 from cardamomflow.accounts import table as accounts_table
+from cardamomflow.zonespill import policy
 
 # An estimated wait counts as this much longer on arrival. Without it, over a
 # quarter of the refused requests of a flood were refused only at their turn;
@@ -19,8 +20,15 @@
 class ServiceQueues:
     """Queued subrequests of one host."""
 
-    def __init__(self) -> None:
-        """Start without queues."""
+    def __init__(self, zone_policy: policy.Policy = policy.NEAREST) -> None:
+        """Start without queues.
+
+        Parameters
+        ----------
+        zone_policy : policy.Policy
+            Is told of each subrequest that enters or leaves a queue.
+        """
+        self._zone_policy = zone_policy
         # Whether requests are refused whose turn comes too late. Only where
         # there are client accounts: without them, requests are served as they
         # were before accounts existed.
@@ -48,6 +56,7 @@
         while queue and subrequest and self._is_too_late(subrequest, now):
             queue.pop(now, is_served=False)
             work = subrequest.work
+            self._record_removed(subrequest)
             work.mark_failed(subrequest, errors.DeadlineUnreachable.code)
             self._refused_works.append(work)
             subrequest = queue.first()
@@ -57,7 +66,7 @@
         self, subrequest: requeststate.Subrequest, now: float, *, is_sent: bool
     ) -> None:
         """Remove the subrequest that `first` returned."""
-        subrequest.is_queued = False
+        self._record_removed(subrequest)
         self._queues_by_service[subrequest.service].pop(now, is_served=is_sent)
 
     def pop_refused(self) -> list[requeststate.Work]:
@@ -69,7 +78,10 @@
         """Add a subrequest at the end of its account's items."""
         subrequest.is_queued = True
         queue = self._queues_by_service.setdefault(
-            subrequest.service, fairqueue.FairQueue(_is_settled)
+            subrequest.service, fairqueue.FairQueue(self._discard_settled)
+        )
+        self._zone_policy.record_queued(
+            subrequest.service, subrequest.work.rank
         )
         account = subrequest.work.account
         queue.push(
@@ -114,6 +126,22 @@
             work.mark_failed(subrequest, errors.DeadlineUnreachable.code)
         return True
 
+    def _record_removed(self, subrequest: requeststate.Subrequest) -> None:
+        subrequest.is_queued = False
+        self._zone_policy.record_dequeued(
+            subrequest.service, subrequest.work.rank
+        )
+
+    def _discard_settled(self, subrequest: requeststate.Subrequest) -> bool:
+        """Return whether a subrequest no longer needs its turn.
+
+        The queue then removes it.
+        """
+        if not subrequest.is_settled:
+            return False
+        self._record_removed(subrequest)
+        return True
+
     def _is_too_late(
         self, subrequest: requeststate.Subrequest, now: float
     ) -> bool:
@@ -149,7 +177,3 @@
 
 def _account_name(work: requeststate.Work) -> str | None:
     return None if work.account is None else work.account.name
-
-
-def _is_settled(subrequest: requeststate.Subrequest) -> bool:
-    return subrequest.is_settled
