--- a/cardamomflow/telemetry.py
+++ b/cardamomflow/telemetry.py
@@ -100,8 +100,8 @@
                 definition.help_text,
                 labels=definition.label.split(','),
             )
-            for labels, total in read_rows():
-                counter.add_metric(labels, total)
+            for row_labels, row_total in read_rows():
+                counter.add_metric(row_labels, row_total)
             yield counter
         for name, read in self._readers_by_name.items():
             definition = _GAUGES_BY_NAME[name]
