--- a/bench/zonespill.py
+++ b/bench/zonespill.py
@@ -123,7 +123,8 @@
     ]
     found = zonetraces.run_all(wanted)
     figures = []
-    for name, ours, planned in zip(names, found[::2], found[1::2], strict=True):
+    pairs = zip(found[::2], found[1::2], strict=True)
+    for name, (ours, planned) in zip(names, pairs, strict=True):
         figures.extend(_both(name, ours, planned))
     return figures
 
--- a/tests/test_zonespill.py
+++ b/tests/test_zonespill.py
@@ -2,16 +2,19 @@
 
 import random
 import unittest
+from unittest import mock
 
 from cardamomflow import (
     directory,
     dispatching,
+    events,
     extraload,
     limits,
     requeststate,
     routes,
     rules,
     settings,
+    telemetry,
 )
 from cardamomflow.zonespill import (
     figures,
@@ -19,6 +22,7 @@
     overflowpolicy,
     placement,
     policy,
+    traffic,
 )
 from tests import test_dispatching as helpers
 
@@ -76,6 +80,14 @@
         self.assertTrue(self.zone.is_open(URGENT, 9.9))
         self.assertFalse(self.zone.is_open(BULK, 9.9))
 
+    def test_latency_without_answers_falls_to_the_lowest(self):
+        """Guards against a zone that is avoided for ever once all left it."""
+        for step in range(100):
+            latency_s = FAST_S if step < 50 else SLOW_S
+            self.zone.record_latency(URGENT, latency_s, step / 10)
+        self.assertGreater(self.zone.rank_latency_s(URGENT, 10.0), 0.3)
+        self.assertLess(self.zone.rank_latency_s(URGENT, 18.0), 0.1)
+
     def test_answer_after_the_end_is_not_counted_below_zero(self):
         """Guards against room that a repeated end seems to free."""
         self.zone.record_start('b')
@@ -320,11 +332,14 @@
         """Guards against bulk work that keeps urgent work from home."""
         world = ZoneWorld()
         world.make_home_slow()
-        found = set()
+        found = []
         for _ in range(20):
-            found.update(world.serve(1, SLOW_S))
-            found.update(world.serve(1, FAST_S, rank=BULK))
-        self.assertTrue(found - {'h'})
+            world.serve(1, SLOW_S)
+            found.extend(world.serve(1, FAST_S, rank=BULK))
+        self.assertTrue(set(found) - {'h'})
+        # Without urgent work in need, bulk work has time until its deadline.
+        world.now += 1.0
+        self.assertEqual(set(world.serve(5, FAST_S, rank=BULK)), {'h'})
 
     def test_costly_answers_stay(self):
         """Guards against bytes that cost more than the time they gain."""
@@ -353,6 +368,21 @@
         self.assertEqual(hedge.availability_zone, 'h')
         self.assertNotEqual(hedge.backend_id, attempts[0].backend_id)
 
+    def test_hedge_stays_at_home_while_work_leaves(self):
+        """Guards against hedges that spend the credits of first attempts."""
+        world = ZoneWorld()
+        world.make_home_slow()
+        (state,) = world.policy._services_by_name.values()
+        for _ in range(20):
+            work, attempts = world.start()
+            state.overflow._credits = overflow.MAXIMUM_CREDITS
+            world.now += 0.09
+            world.dispatcher.tick(work, world.now)
+            hedges = world.sent()
+            self.assertLessEqual(set(zones(hedges)), {'h'})
+            for attempt in (*attempts, *hedges):
+                world.answer(attempt)
+
     def test_hedge_of_the_last_server_leaves(self):
         """Guards against a straggler that nothing can pass."""
         world = ZoneWorld(home=('h0',))
@@ -484,6 +514,52 @@
         self.assertEqual(world.policy.shares_by_service(), {})
 
 
+class ZoneTrafficTest(unittest.TestCase):
+    def setUp(self):
+        self.world = ZoneWorld()
+        self.metrics = telemetry.Metrics()
+        self.journal = mock.Mock()
+
+    def create(self, named):
+        settings_document = {
+            'host': {'availability_zone': 'h'},
+            'availability_zones': named,
+        }
+        return traffic.ZoneTraffic(
+            mock.Mock(
+                metrics=self.metrics,
+                journal=self.journal,
+                settings=settings_document,
+            ),
+            self.world.policy,
+        )
+
+    def test_pairs_are_bounded(self):
+        """Guards against a metric for each zone that an entry names."""
+        counted = self.create(['h', 'x.1'])
+        for zone in ('h', 'x.1', 'unknown', 'unheard-of'):
+            attempt = mock.Mock(availability_zone=zone)
+            counted.record_attempt(attempt)
+            counted.record_answer(attempt, helpers.reply())
+        page = self.metrics.render().decode()
+        self.assertIn('host_zone_attempts_total{pair="h>x_1"} 1.0', page)
+        self.assertIn('host_zone_attempts_total{pair="h>other"} 2.0', page)
+        self.assertIn('host_zone_answer_bytes_total{pair="h>x_1"} 16.0', page)
+        self.assertNotIn('h>h', page)
+
+    def test_changed_share_has_one_line(self):
+        """Guards against a share that grows unseen, or a line a request."""
+        counted = self.create(['h', 'x'])
+        self.world.make_home_slow()
+        for _ in range(3):
+            counted.report_changes()
+        lines = self.journal.info.call_args_list
+        self.assertLessEqual(len(lines), 1 / overflowpolicy.LOGGED_CHANGE + 1)
+        self.assertEqual(lines[0].args, (events.Event.ZONE_SHARE,))
+        self.assertEqual(lines[0].kwargs['before'], 0)
+        self.assertIn('host_zone_share', self.metrics.render().decode())
+
+
 class NearestZoneTest(unittest.TestCase):
     def test_all_zones_are_compared(self):
         """Guards against a zone that hosts without the policy exclude."""
