Mend what a review of accounts, queues and zones found

- A message from before a suspension counted as a fresh confirmation when it was not the first one read: a new key could get 401.
Only confirmations after the resume count.
- A queued request whose last backend server went was failed, but its task was not woken, so its caller waited until the target or the deadline.
- A settled item at the front of a rank's queue counted as a backlog, so lower ranks were refused for an urgent item that had expired long before.
- A start with stale lists dropped a newer configuration without routes.

Each has a test that fails on, except the last (by reading).

With the policy for zones, a paused backend server kept all work of its zone until the average latency rose. One that answers nothing while a call is in flight now counts as missing.

--- a/cardamomflow/accounts/authentication.py
+++ b/cardamomflow/accounts/authentication.py
@@ -29,12 +29,13 @@
         """Start without a confirmation."""
         self._confirmed_at = float('-inf')
         self._suspended_s: float | None = None
+        # Monotonic time of the first record after the last suspension.
+        self._resumed_at = float('-inf')
 
     def record(self, confirmed_at: float, now: float, boot_time: float) -> None:
         """Record a confirmation.
 
-        The first one after a suspension is ignored, because it may have
-        arrived before.
+        Those from before a suspension, which may be read after it, are ignored.
 
         Parameters
         ----------
@@ -45,7 +46,13 @@
         """
         suspended_s = boot_time - now
         previous_s, self._suspended_s = self._suspended_s, suspended_s
-        if previous_s is None or suspended_s - previous_s < _MIN_SUSPENSION_S:
+        is_resumed = (
+            previous_s is not None
+            and suspended_s - previous_s >= _MIN_SUSPENSION_S
+        )
+        if is_resumed:
+            self._resumed_at = now
+        elif confirmed_at >= self._resumed_at:
             self._confirmed_at = max(
                 self._confirmed_at, confirmed_at + suspended_s
             )
--- a/cardamomflow/accounts/fairqueue.py
+++ b/cardamomflow/accounts/fairqueue.py
@@ -75,6 +75,8 @@
     def push(
         self, item: Any, name: str | None, weight: float, now: float
     ) -> None:
+        # Removes settled items, which would count as a backlog since they came.
+        self.first()
         if not self.length:
             self._reset(now)
         flow = self._flows_by_name.setdefault(name, _Flow())
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -424,6 +424,7 @@
             self.queues.pop(subrequest, now, is_sent=is_sent)
             if not subrequest.open_attempts:
                 self.notices.mark_unserved(subrequest, now)
+                self.queues.record_failed(subrequest.work)
             subrequest = self.queues.first(service, now)
 
 
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -81,7 +81,7 @@
         for _ in range(MAX_CATCH_UP_CALLS):
             changes = await self.watch(lists.revision, CATCH_UP_WAIT_S)
             lists = platformsource.Changes(
-                changes.table or lists.table,
+                lists.table if changes.table is None else changes.table,
                 [*lists.entries, *changes.entries],
                 [*lists.hosts, *changes.hosts],
                 changes.revision,
--- a/cardamomflow/replicas.py
+++ b/cardamomflow/replicas.py
@@ -36,6 +36,9 @@
 # work until its ejection. Avoiding it completely would overload the others.
 FAILURE_FACTOR = 2
 NO_REPLICAS: Set[str] = frozenset()
+# A call in flight for this many times the average latency, without any answer
+# meanwhile, shows a pause.
+STALL_FACTOR = 2.5
 EJECTION_S = 5.0
 EJECTION_CAP_S = 60.0
 _EJECTION_GROWTH = 2
@@ -352,6 +355,28 @@
             return False
         return replica.is_unreachable or now < replica.ejected_until
 
+    def is_stalled(
+        self, backend_id: str, patience_s: float, now: float
+    ) -> bool:
+        """Return whether a backend server seems to be paused.
+
+        It has answered nothing for a time in which it should have, although a
+        call is in flight. A single long call does not count while others are
+        answered.
+
+        Parameters
+        ----------
+        backend_id : str
+        patience_s : float
+            Shortest time in seconds that counts as a pause.
+        now : float
+        """
+        replica = self._replicas_by_id.get(backend_id)
+        if replica is None or not replica.send_times:
+            return False
+        silent_s = now - max(replica.send_times[0], replica.answered_at)
+        return silent_s > max(patience_s, STALL_FACTOR * replica.latency_s(now))
+
     def is_worth_using(
         self, backend_id: str, candidates: Sequence[str], now: float
     ) -> bool:
--- a/cardamomflow/servicequeues.py
+++ b/cardamomflow/servicequeues.py
@@ -69,8 +69,12 @@
         self._record_removed(subrequest)
         self._queues_by_service[subrequest.service].pop(now, is_served=is_sent)
 
+    def record_failed(self, work: requeststate.Work) -> None:
+        """Record a request of which a queued part failed."""
+        self._refused_works.append(work)
+
     def pop_refused(self) -> list[requeststate.Work]:
-        """Return the requests of which `first` refused a part since."""
+        """Return the requests of which a queued part failed since."""
         refused, self._refused_works = self._refused_works, []
         return refused
 
--- a/cardamomflow/zonespill/selection.py
+++ b/cardamomflow/zonespill/selection.py
@@ -3,11 +3,17 @@
 Translates the state of a request into a query of the policy. Holds no figures.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 
 from cardamomflow import directory, occupancy, replicas, requeststate
 from cardamomflow.zonespill import placement, policy
 
+# Part of the target for which a backend server may be silent before it counts
+# as paused. Work that waits for longer would need a hedge, which the budget of
+# extra attempts limits.
+STALL_SHARE = 0.15
+
 
 class ZoneSelection:
     """Asks the policy of a host for its attempts.
@@ -74,6 +80,8 @@
             return policy.Choice(policy.Decision.HOME, available)
         at_home = self._directory.in_zone(candidates, self._own_zone)
         work = subrequest.work
+        # A hedge is the answer to a pause already.
+        patience_s = math.inf if is_hedge else STALL_SHARE * work.route.target_s
         choice = self.policy.decide(
             policy.Query(
                 subrequest.service,
@@ -89,6 +97,7 @@
             now,
             has_home=not all(
                 self._chooser.is_ejected(backend_id, now)
+                or self._chooser.is_stalled(backend_id, patience_s, now)
                 for backend_id in at_home
             ),
         )
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -228,6 +228,16 @@
         age.record(12, 12, 172)
         self.assertEqual(age.age_s(172), 0)
 
+    def test_second_message_from_before_a_suspension(self):
+        """Guards against several old messages that are read at once."""
+        age = authentication.ConfirmationAge()
+        age.record(9, 10, 110)
+        for _ in range(3):
+            age.record(9.9, 10.1, 120.1)
+        self.assertGreater(age.age_s(120.1), 10)
+        age.record(10.2, 10.3, 120.3)
+        self.assertLess(age.age_s(120.3), 1)
+
 
 class WorkTest(unittest.TestCase):
     def test_rank_and_account_reach_the_owner_of_a_part(self):
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -120,6 +120,18 @@
                 self.dispatcher.on_reply(attempt, reply(), 0.0)
 
 
+class QueueTest(unittest.TestCase):
+    def test_queued_request_without_backend_servers_is_reported(self):
+        """Guards against a refusal that waits for the deadline."""
+        world = World(('a',), replicas=1, connections=1)
+        world.start(make_route(('a',)))
+        queued = world.start(make_route(('a',)))
+        (change,) = world.directory.remove_unlisted(set(), 0)
+        world.dispatcher.on_directory_changes([change], 0.1)
+        self.assertTrue(queued.is_finished(0.1))
+        self.assertIn(queued, world.dispatcher.queues.pop_refused())
+
+
 class WorkTest(unittest.TestCase):
     def test_whole_answer_ends_at_once(self):
         """Guards against a request that waits although it has all parts."""
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -251,6 +251,15 @@
         self.assertEqual(self.drain(queue, 1), ['a'])
         self.assertIsNone(queue.first())
 
+    def test_settled_item_does_not_prolong_the_wait_of_a_lower_rank(self):
+        """Guards against a refusal for an urgent item that has expired."""
+        queue = fairqueue.FairQueue(lambda item: item.is_settled)
+        expired = Item('a')
+        queue.push(expired, URGENT, 'a', 1, 0)
+        expired.is_settled = True
+        queue.push(Item('a'), URGENT, 'a', 1, 5)
+        self.assertLess(queue.wait_s(rules.Rank.BULK, 'b', 5), 1)
+
     def test_starved_rank_is_refused_early(self):
         """Guards against bulk requests that wait out an urgent flood."""
         tally = simulate(
