--- a/bench/zonespill.py
+++ b/bench/zonespill.py
@@ -36,19 +36,19 @@
     """Run the traces and time the decisions."""
     figures = []
     for hosts in HOSTS_PER_ZONE:
-        figures.extend(_half_lost(hosts))
+        figures.extend(_half_lost('half_lost', hosts))
         figures.append(_calm(hosts))
+    figures.extend(_half_lost('half_lost_patient', HOSTS_PER_ZONE[0]))
     figures.extend(_others())
     figures.append(_decision('calm', is_short=False))
     figures.append(_decision('short', is_short=True))
     return figures
 
 
-def _half_lost(hosts: int) -> list[result.Result]:
+def _half_lost(trace: str, hosts: int) -> list[result.Result]:
     by_decisions = {
         decisions: zonetraces.run_all(
-            zonetraces.Run('half_lost', decisions, seed, hosts)
-            for seed in SEEDS
+            zonetraces.Run(trace, decisions, seed, hosts) for seed in SEEDS
         )
         for decisions in (
             zonetraces.POLICY,
@@ -56,7 +56,7 @@
             zonetraces.BY_WAIT,
         )
     }
-    name = f'zonespill.half_lost.{hosts}_hosts'
+    name = f'zonespill.{trace}.{hosts}_hosts'
     ours, planner, by_wait = (
         by_decisions[each]
         for each in (
@@ -114,7 +114,7 @@
     names = [
         name
         for name in zonetraces.TRACES_BY_NAME
-        if name not in {'half_lost', 'calm'}
+        if name not in {'half_lost', 'half_lost_patient', 'calm'}
     ]
     wanted = [
         zonetraces.Run(name, decisions, SEEDS[0])
--- a/lab/zonetraces.py
+++ b/lab/zonetraces.py
@@ -32,6 +32,20 @@
 _URGENT, _STANDARD, _BULK = rules.Rank
 
 
+class BulkTimes(NamedTuple):
+    """Mean work, target and deadline of bulk work in seconds."""
+
+    work_s: float
+    target_s: float
+    deadline_s: float
+
+
+USUAL_BULK = BulkTimes(0.08, 1.0, 3.0)
+# Bulk work that can wait at home for nearly as long as the trouble lasts.
+PATIENT_BULK = BulkTimes(0.16, 1.5, 6.0)
+PATIENT_END_S = 12.0
+
+
 class Run(NamedTuple):
     """One run of a trace; see `run`."""
 
@@ -78,7 +92,9 @@
         return sum(self.calls.values())
 
 
-def deployment(hosts_per_zone: int = 2) -> deployments.Deployment:
+def deployment(
+    hosts_per_zone: int = 2, bulk: BulkTimes = USUAL_BULK
+) -> deployments.Deployment:
     """Return three equal zones whose servers are busy for 0.7 of the time."""
     services = tuple(
         deployments.Service(
@@ -92,7 +108,7 @@
     )
     slots = 2 * SERVERS_PER_ZONE * len(ZONES) * len(_SERVICES)
     shares_by_name = {'check': 0.3, 'search': 0.5, 'statement': 0.2}
-    works_by_name = {'check': 0.02, 'search': 0.04, 'statement': 0.08}
+    works_by_name = {'check': 0.02, 'search': 0.04, 'statement': bulk.work_s}
     mean_s = sum(
         share * works_by_name[name] for name, share in shares_by_name.items()
     )
@@ -100,7 +116,7 @@
     times = {
         'check': (_URGENT, 0.12, 0.8),
         'search': (_STANDARD, 0.3, 1.5),
-        'statement': (_BULK, 1.0, 3.0),
+        'statement': (_BULK, bulk.target_s, bulk.deadline_s),
     }
     kinds = tuple(
         deployments.Kind(
@@ -140,6 +156,11 @@
     _lose(world, 'a', SERVERS_PER_ZONE // 2)
 
 
+def half_lost_patient(world: worlds.World) -> None:
+    """A zone loses half of its servers for 9 s, and bulk work can wait."""
+    _lose(world, 'a', SERVERS_PER_ZONE // 2, PATIENT_END_S)
+
+
 def slow(world: worlds.World) -> None:
     """All backend servers of all zones take eight times as long."""
     _fault(world, ZONES, factor=SLOW_FACTOR)
@@ -203,6 +224,7 @@
     for trace in (
         calm,
         half_lost,
+        half_lost_patient,
         slow,
         slow_zone,
         wave,
@@ -243,7 +265,8 @@
     length_s : float
         A shorter run may end before the trouble does.
     """
-    world = worlds.World(deployment(hosts_per_zone), seed, decisions)
+    bulk = PATIENT_BULK if name == half_lost_patient.__name__ else USUAL_BULK
+    world = worlds.World(deployment(hosts_per_zone, bulk), seed, decisions)
     TRACES_BY_NAME[name](world)
     shares: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
     loads: dict[str, list[float]] = collections.defaultdict(list)
@@ -331,7 +354,9 @@
     world.clock.after(END_S, lambda: world.change(backend_ids, **restored))
 
 
-def _lose(world: worlds.World, zone: str, count: int) -> None:
+def _lose(
+    world: worlds.World, zone: str, count: int, end_s: float = END_S
+) -> None:
     """Remove backend servers of each service of a zone for a time."""
     lost = []
     for service in _SERVICES:
@@ -342,7 +367,7 @@
         ]
         lost.extend(in_zone[:count])
     world.clock.after(BEGIN_S, lambda: _take_away(world, lost))
-    world.clock.after(END_S, lambda: _bring_back(world, lost))
+    world.clock.after(end_s, lambda: _bring_back(world, lost))
 
 
 def _take_away(world: worlds.World, backend_ids: list[str]) -> None:
