Test processes beside crowds of clients that misbehave

Clients have ended a process by exhausting its memory; no test had many connections that stop just short of their end. The suite runs them after all others, one at a time.

--- a/tools/suite.py
+++ b/tools/suite.py
@@ -35,6 +35,9 @@
     *MODULES_SPLIT_BY_CLASS,
     'tests.test_path',
 )
+# These tests check the memory of processes beside many connections. They run
+# after all others, one at a time, so that no other load delays them.
+MODULES_RUN_ALONE = ('tests.test_uncontrolled_clients',)
 # On 8 cores, six parallel units take 169 s, and 182 s if 6 other processes are
 # busy.
 JOBS = max(2, (os.cpu_count() or 2) * 3 // 4)
@@ -247,6 +250,13 @@
 
 
 def _run_all(units: list[Unit], jobs: int) -> list[UnitResult]:
+    """Run the units in parallel, then those of `MODULES_RUN_ALONE`."""
+    alone = [unit for unit in units if unit.name in MODULES_RUN_ALONE]
+    beside_others = [unit for unit in units if unit not in alone]
+    return [*_run_phase(beside_others, jobs), *_run_phase(alone, 1)]
+
+
+def _run_phase(units: list[Unit], jobs: int) -> list[UnitResult]:
     unit_results = []
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         pending = [pool.submit(run_unit, unit) for unit in units]
