Bound the bytes and connections that clients make a process hold (partial)

Cause: nothing bounded the sum of incomplete bodies, heads, frames and unread answers of all connections, idle connections could take all descriptors, and a body of tiny chunks was parsed in one turn of the loop.

Over a limit, the sender that holds most loses the connections with the most bytes for the longest time without progress.

--- a/cardamomflow/context.py
+++ b/cardamomflow/context.py
@@ -9,6 +9,7 @@
 import logbook
 
 from cardamomflow import bodybudget, journal, logoutput, telemetry, tracing
+from cardamomflow.heldbytes import guard, sizing
 
 
 class Context(NamedTuple):
@@ -27,6 +28,8 @@
         Returns monotonic seconds.
     body_budget : bodybudget.BodyBudget
         Limits the incomplete answers of backend servers.
+    client_guard : guard.Guard
+        Limits what clients make the process hold.
     """
 
     settings: Any
@@ -37,6 +40,7 @@
     random: random.Random
     clock: Callable[[], float]
     body_budget: bodybudget.BodyBudget[Any]
+    client_guard: guard.Guard
 
 
 def create(settings: Any) -> Context:
@@ -45,15 +49,16 @@
     generator = random.Random()  # noqa: S311  # not used for secrets
     trace_settings = settings.get('tracing', {})
     log_output = logoutput.LogOutput(sys.stdout.fileno())
+    process_journal = journal.create(
+        process_id, settings.get('log', {}).get('level', 'info'), log_output
+    )
+    metrics = telemetry.Metrics()
+    limits = sizing.derive(settings)
     return Context(
         settings=settings,
-        journal=journal.create(
-            process_id,
-            settings.get('log', {}).get('level', 'info'),
-            log_output,
-        ),
+        journal=process_journal,
         log_output=log_output,
-        metrics=telemetry.Metrics(),
+        metrics=metrics,
         tracer=tracing.Tracer(
             process_id,
             generator,
@@ -62,5 +67,6 @@
         ),
         random=generator,
         clock=time.monotonic,
-        body_budget=bodybudget.BodyBudget(),
+        body_budget=bodybudget.BodyBudget(limits.answer_bytes),
+        client_guard=guard.Guard(limits, process_journal, metrics),
     )
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -31,6 +31,7 @@
 )
 from cardamomflow import settings as settings_module
 from cardamomflow.generated import wire_pb2
+from cardamomflow.heldbytes import guard, sizing
 from cardamomflow.platform import front
 
 DEFAULT_DRAIN_DELAY_S = 0.5
@@ -54,8 +55,15 @@
 class LinkServer:
     """Accepts links from peers and passes them to a handler."""
 
-    def __init__(self, address: str, port: int, handler: Any) -> None:
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        handler: Any,
+        client_guard: guard.Guard | None = None,
+    ) -> None:
         """Bind the listening socket, so that port 0 is resolved at once."""
+        self._guard = client_guard or guard.Guard(sizing.Limits())
         self._listener = webserver.listen(address, port)
         self.port: int = self._listener.getsockname()[1]
         self._handler = handler
@@ -71,11 +79,15 @@
                     # No free descriptors, or the peer is already gone.
                     await curio.sleep(_ACCEPT_RETRY_S)
                     continue
-                if self.stopping:
+                if self.stopping or not await self._guard.make_room(
+                    sock.fileno()
+                ):
                     await sock.close()
                     continue
                 links.set_no_delay(sock)
-                link = links.Link(sock, wire_pb2.Envelope, self._handler)
+                link = links.Link(
+                    sock, wire_pb2.Envelope, self._handler, self._guard
+                )
                 await curio.spawn(self._run, link, daemon=True)
 
     async def _run(self, link: links.Link[wire_pb2.Envelope]) -> None:
@@ -88,7 +100,12 @@
     settings = process_context.settings
     program = entry.Entry(process_context)
     listen = settings['listen']
-    server = webserver.WebServer(listen['address'], listen['port'], program)
+    server = webserver.WebServer(
+        listen['address'],
+        listen['port'],
+        program,
+        client_guard=process_context.client_guard,
+    )
     view = localview.LocalViewClient(
         settings, 'entry', (listen['address'], server.port), program
     )
@@ -129,7 +146,12 @@
     dispatcher.may_send = runner.may_send
     dispatcher.groups_by_service = program.groups_by_service
     listen = process_context.settings['listen']
-    server = LinkServer(listen['address'], listen['port'], program)
+    server = LinkServer(
+        listen['address'],
+        listen['port'],
+        program,
+        process_context.client_guard,
+    )
     view = localview.LocalViewClient(
         process_context.settings,
         'aggregator',
@@ -197,11 +219,14 @@
     settings = process_context.settings
     program = hosting.Host(process_context)
     server = webserver.WebServer(
-        *authorities.split(settings['callers']), front.CallerHandler(program)
+        *authorities.split(settings['callers']),
+        front.CallerHandler(program),
+        client_guard=process_context.client_guard,
     )
     readiness = webserver.WebServer(
         *authorities.split(settings['readiness']),
         front.ReadinessHandler(program),
+        client_guard=process_context.client_guard,
     )
     program.zones.on_cut_off_change = server.set_close_after_response
     program.on_bounds_changed = functools.partial(setattr, server, 'bounds')
@@ -213,7 +238,9 @@
     peer_listener = None
     if 'peers' in settings:
         peer_listener = LinkServer(
-            *authorities.split(settings['peers']), peer_server
+            *authorities.split(settings['peers']),
+            peer_server,
+            process_context.client_guard,
         )
     return HostComponents(
         program,
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -89,6 +89,12 @@
     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
+class BodyFragmented(BadRequest):
+    """The framing of the body costs far more than the body carries."""
+
+    code = 'body_fragmented'
+
+
 class MethodNotAllowed(BadRequest):
     """The path does not support this method."""
 
@@ -113,6 +119,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class MemoryShort(Overloaded):
+    """The process holds too many bytes of unfinished requests."""
+
+    code = 'memory_short'
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class DeadlineUnreachable(Overloaded):
     """The request can't finish before its deadline."""
 
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -21,6 +21,7 @@
     TASK_FAILED = 'background task failed'
     LINES_LOST = 'log lines lost'
     LOOP_LATE = 'event loop late'
+    CLIENT_EVICTED = 'client evicted'
 
     # Changes in a process's view of the other processes and of the platform.
     ROUTES_IN_FORCE = 'routes in force'
--- a/cardamomflow/frames.py
+++ b/cardamomflow/frames.py
@@ -39,6 +39,11 @@
         self._message_type = message_type
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of a frame that is not complete."""
+        return len(self._buffer)
+
     def feed(self, received: bytes) -> Iterator[MessageT]:
         """Append received bytes and yield the complete messages.
 
--- /dev/null
+++ b/cardamomflow/heldbytes/guard.py
@@ -0,0 +1,147 @@
+"""Applies the limits on clients in one process; owns its budget.
+
+Evicts the connections that `budget` chooses. Each decision is counted in the
+metrics and logged, at most one line a second for each cause.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import curio
+
+from cardamomflow import events
+from cardamomflow.heldbytes import budget, sizing
+
+LOG_INTERVAL_S = 1.0
+# Bytes of the parts of an answer that are counted together.
+GROW_STEP_BYTES = 4096
+
+
+class Guard:
+    """Limits on the clients of one process.
+
+    Parameters
+    ----------
+    limits : sizing.Limits
+    journal : logbook.Logger, optional
+    metrics : telemetry.Metrics, optional
+    clock : callable
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    limits : sizing.Limits
+    budget : budget.Budget
+    lane : curio.Lock
+        See `turns`.
+    """
+
+    def __init__(
+        self,
+        limits: sizing.Limits,
+        journal: Any = None,
+        metrics: Any = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.limits = limits
+        self.budget = budget.Budget(limits, clock)
+        self.lane = curio.Lock()
+        self.clock = clock
+        self._journal = journal
+        self._metrics = metrics
+        self._log_after_by_cause: dict[budget.Cause, float] = {}
+        self._unlogged_by_cause = dict.fromkeys(budget.Cause, 0)
+        if metrics is not None:
+            self._register_gauges(metrics)
+
+    async def hold(
+        self, holder: budget.Holder, kind: budget.Kind, size: int
+    ) -> None:
+        """Set what a connection holds; evicts connections over the limit."""
+        evicted = self.budget.hold(holder, kind, size)
+        if evicted:
+            await self._evict(evicted, budget.Cause.BYTES)
+
+    async def add_part(self, holder: budget.Holder, size: int) -> None:
+        """Count a part of the answer to the request of a connection."""
+        holder.uncounted_bytes += size
+        is_request = holder.kind is budget.Kind.REQUEST
+        if is_request and holder.uncounted_bytes >= GROW_STEP_BYTES:
+            evicted = self.budget.grow(holder)
+            if evicted:
+                await self._evict(evicted, budget.Cause.BYTES)
+
+    async def make_room(self, descriptor: int) -> bool:
+        """Close the least deserving connections if too many are open.
+
+        Parameters
+        ----------
+        descriptor : int
+            Of a connection that was just accepted. It is the lowest free
+            number, so at least as many descriptors are open.
+
+        Returns
+        -------
+        bool
+            Whether the accepted connection may stay.
+        """
+        if descriptor >= self.limits.descriptors:
+            cause = budget.Cause.DESCRIPTORS
+        elif self.budget.connection_count >= self.limits.connections:
+            cause = budget.Cause.CONNECTIONS
+        else:
+            return True
+        return await self.shrink(cause)
+
+    async def shrink(self, cause: budget.Cause) -> bool:
+        """Close the least deserving connections; return whether any is."""
+        surplus = self.budget.choose_surplus()
+        await self._evict(surplus, cause)
+        # The tasks of the closed connections run now and close the
+        # descriptors.
+        await curio.sleep(0)
+        await curio.sleep(0)
+        return bool(surplus)
+
+    def record(self, holder: budget.Holder, cause: budget.Cause) -> None:
+        """Count and log a connection that is refused or closed."""
+        if self._metrics is not None:
+            self._metrics.increment(f'clients.evicted.{cause}')
+        now = self.clock()
+        if now < self._log_after_by_cause.get(cause, now):
+            self._unlogged_by_cause[cause] += 1
+            return
+        self._log_after_by_cause[cause] = now + LOG_INTERVAL_S
+        left_out, self._unlogged_by_cause[cause] = (
+            self._unlogged_by_cause[cause],
+            0,
+        )
+        if self._journal is not None:
+            self._journal.warning(
+                events.Event.CLIENT_EVICTED,
+                cause=cause,
+                sender=holder.sender,
+                doing=holder.kind,
+                waited_ms=round(holder.waited_s(now) * 1000),
+                held_bytes=self.budget.held_bytes,
+                connections=self.budget.connection_count,
+                left_out=left_out,
+            )
+
+    async def _evict(
+        self, holders: Iterable[budget.Holder], cause: budget.Cause
+    ) -> None:
+        for holder in holders:
+            self.record(holder, cause)
+            await holder.evict(cause)
+
+    def _register_gauges(self, metrics: Any) -> None:
+        for kind in budget.Kind:
+            metrics.register_gauge(f'clients.held_{kind}', self._reader(kind))
+        metrics.register_gauge(
+            'clients.connections', lambda: self.budget.connection_count
+        )
+
+    def _reader(self, kind: budget.Kind) -> Callable[[], float]:
+        return lambda: self.budget.bytes_by_kind[kind]
--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -16,6 +16,7 @@
 from google.protobuf import message as protobuf_message
 
 from cardamomflow import errors, frames, liveness
+from cardamomflow.heldbytes import budget, guard
 
 _RECEIVE_BYTES = 262_144
 # A link with more unsent bytes is closed, to bound memory when the peer reads
@@ -25,6 +26,10 @@
 CLOSE_TIMEOUT_S = 1.0
 _CHECK_INTERVAL_S = liveness.CHECK_INTERVAL_S
 _FLUSH_POLL_S = 0.005
+# Messages of one received block that are handled in one turn of the loop.
+_MESSAGES_IN_A_TURN = 64
+# Smaller frames are not counted: a link with many of them would cost more.
+_SMALL_BYTES = 16_384
 
 MessageT = TypeVar('MessageT', bound=protobuf_message.Message)
 
@@ -59,7 +64,7 @@
         return False
 
 
-class Link(Generic[MessageT]):
+class Link(budget.Holder, Generic[MessageT]):
     """One framed connection."""
 
     def __init__(
@@ -67,8 +72,20 @@
         sock: curio_io.Socket,
         message_type: type[MessageT],
         handler: LinkHandler[MessageT],
+        client_guard: guard.Guard | None = None,
     ) -> None:
-        """Create a link on a connected socket, which the link closes."""
+        """Create a link on a connected socket, which the link closes.
+
+        Parameters
+        ----------
+        sock : curio.io.Socket
+        message_type : type
+        handler : LinkHandler
+        client_guard : guard.Guard, optional
+            Limits what the peer makes this process hold; for accepted links.
+        """
+        super().__init__(peer_address(sock), time.monotonic())
+        self._guard = client_guard
         self.is_open = True
         self._sock = sock
         self._reader = frames.FrameReader(message_type)
@@ -111,6 +128,7 @@
         self._unsent += frame
         self._posted_bytes += len(frame)
         await self._wake.set()
+        await self._count_held()
         return start
 
     async def post_if_open(self, message: MessageT) -> None:
@@ -162,6 +180,8 @@
     async def run(self) -> None:
         """Read and write until the link ends; never raises on peer failures."""
         self._timer = liveness.LivenessTimer(time.monotonic())
+        if self._guard is not None:
+            self._guard.budget.open(self)
         writer = await curio.spawn(self._write, daemon=True)
         if self._handler.make_ping() is not None:
             await self._liveness_checker.add(self)
@@ -171,11 +191,18 @@
             self.is_open = False
         finally:
             self.is_open = False
+            if self._guard is not None:
+                self._guard.budget.close(self)
             self._liveness_checker.remove(self)
             # In another task, since `run` may end by cancellation.
             await curio.spawn(self._release, writer, daemon=True)
             await self._handler.on_closed(self)
 
+    async def evict(self, cause: budget.Cause) -> None:
+        """Close the link at once."""
+        del cause
+        await self._abort()
+
     async def close(self) -> None:
         """Close the link after all posted messages are sent.
 
@@ -214,7 +241,8 @@
             received = await self._sock.recv(_RECEIVE_BYTES)
             if not received:
                 return
-            self._timer.record_received(time.monotonic())
+            self.progressed_at = time.monotonic()
+            self._timer.record_received(self.progressed_at)
             if self.is_open:
                 await self._dispatch(received)
             # Without this, a socket that always has bytes would never
@@ -222,8 +250,19 @@
             await curio.sleep(0)
 
     async def _dispatch(self, received: bytes) -> None:
-        for message in self._reader.feed(received):
+        for number, message in enumerate(self._reader.feed(received), 1):
             await self._handler.on_message(self, message)
+            if not number % _MESSAGES_IN_A_TURN:
+                await curio.sleep(0)
+        await self._count_held()
+
+    async def _count_held(self) -> None:
+        """Count large frames that are incomplete or not yet sent."""
+        if self._guard is None:
+            return
+        size = self._reader.buffered_bytes + self.unsent_bytes
+        if self.held_bytes or size > _SMALL_BYTES:
+            await self._guard.hold(self, budget.Kind.FRAME, size)
 
     async def _write(self) -> None:
         while True:
@@ -243,6 +282,7 @@
                 await self._abort()
                 return
             self._sent_bytes += len(block)
+            await self._count_held()
 
     async def _apply_check(self, check: liveness.Action, now: float) -> None:
         if not self.is_open:
@@ -368,6 +408,14 @@
     return dict(poller.poll(0)).get(sock.fileno(), 0)
 
 
+def peer_address(sock: curio_io.Socket) -> str:
+    """Return the address of the peer; empty once the socket has failed."""
+    try:
+        return str(sock.getpeername()[0])
+    except (OSError, IndexError):
+        return ''
+
+
 def set_no_delay(sock: curio_io.Socket) -> None:
     """Send small frames at once instead of waiting for acknowledgements."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -95,6 +95,12 @@
         'reason',
         'Messages to other hosts whose parts this host asked for after all.',
     ),
+    MetricDefinition(
+        'clients.evicted',
+        'evicted_clients',
+        'cause',
+        'Connections refused or closed for what they hold or cost.',
+    ),
     MetricDefinition(
         'log.lost', 'lost_log_lines', '', 'Log lines without reader.'
     ),
@@ -381,6 +387,48 @@
     MetricDefinition(
         'host.open_requests', 'host_open_requests', '', 'Requests in progress.'
     ),
+    MetricDefinition(
+        'clients.held_idle',
+        'client_held_idle_bytes',
+        '',
+        'Bytes held for idle connections.',
+    ),
+    MetricDefinition(
+        'clients.held_head',
+        'client_held_head_bytes',
+        '',
+        'Bytes held for incomplete heads.',
+    ),
+    MetricDefinition(
+        'clients.held_body',
+        'client_held_body_bytes',
+        '',
+        'Bytes held for incomplete bodies.',
+    ),
+    MetricDefinition(
+        'clients.held_request',
+        'client_held_request_bytes',
+        '',
+        'Bytes held for requests in progress and the parts of their answers.',
+    ),
+    MetricDefinition(
+        'clients.held_answer',
+        'client_held_answer_bytes',
+        '',
+        'Bytes held for answers that are being sent.',
+    ),
+    MetricDefinition(
+        'clients.held_frame',
+        'client_held_frame_bytes',
+        '',
+        'Bytes held for frames between processes.',
+    ),
+    MetricDefinition(
+        'clients.connections',
+        'client_connections',
+        '',
+        'Open connections of clients.',
+    ),
     MetricDefinition(
         'loop.lag',
         'event_loop_lag_seconds',
--- a/cardamomflow/metricspage.py
+++ b/cardamomflow/metricspage.py
@@ -52,7 +52,9 @@
     if address is None:
         return ()
     server = webserver.WebServer(
-        *authorities.split(address), MetricsPage(process_context.metrics)
+        *authorities.split(address),
+        MetricsPage(process_context.metrics),
+        client_guard=process_context.client_guard,
     )
     process_context.journal.info(events.Event.METRICS_SERVED, port=server.port)
     return (server.serve,)
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -17,14 +17,29 @@
 from curio import io as curio_io
 
 from cardamomflow import errors, links, requesthead, webhandler
+from cardamomflow.heldbytes import budget, framing, guard, turns
 
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 262_144
 HEAD_TIMEOUT_S = 5.0
 BODY_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
+# Time within which a caller must read some of a response.
 SEND_TIMEOUT_S = 10.0
+# Rate at which a caller must read a response after that time. The slowest links
+# of callers carry 80 times as much.
+MIN_SEND_BYTES_PER_S = 16_384
+# A response of this size fits in the send buffer of a socket, so that sending
+# it rarely waits. Larger ones count as held until they are sent.
+SMALL_RESPONSE_BYTES = 16_384
+# Time after which a caller may repeat a request that was refused for the bytes
+# it holds.
+MEMORY_RETRY_AFTER_S = 1.0
+# Smaller bodies are part of the memory that `sizing` assumes for a connection.
+SMALL_BODY_BYTES = 2048
 _RECEIVE_BYTES = 65_536
+# Time for an evicted caller to read its refusal before the close.
+_EVICTED_LINGER_S = 0.1
 _BODILESS = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 
@@ -58,6 +73,11 @@
 
     bounds: Bounds = Bounds()
 
+    @property
+    @abc.abstractmethod
+    def client_guard(self) -> guard.Guard:
+        """Limits that the connections of the process share."""
+
     @property
     @abc.abstractmethod
     def closes_after_response(self) -> bool:
@@ -68,7 +88,7 @@
         """Remove a connection that has ended."""
 
 
-class Connection:
+class Connection(budget.Holder):
     """One caller's connection; serves its requests one after another.
 
     Attributes
@@ -88,6 +108,8 @@
         server: Server,
     ) -> None:
         """Create the connection of an accepted socket, which it closes."""
+        self._guard = server.client_guard
+        super().__init__(links.peer_address(sock), self._guard.clock())
         self.busy = False
         self.handling = False
         self.task: curio.Task | None = None
@@ -98,12 +120,18 @@
         self._is_first = True
         # Whether an interim response may have been sent in part.
         self._is_output_cut = False
+        # Why the request that is being read is refused.
+        self._refusal: errors.FlowError | None = None
+        self._body = bytearray()
+        self._meter: framing.ChunkMeter | None = None
+        self._turns = turns.Turns(self._guard.lane)
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.bounds.head_bytes
         )
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        self._guard.budget.open(self)
         try:
             async with self._sock:
                 await self._serve()
@@ -111,14 +139,34 @@
             return
         finally:
             self.busy = False
+            self._guard.budget.close(self)
             self._server.discard(self)
 
     async def close(self) -> None:
         """Shut the connection down, even during a request."""
-        try:
-            await self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
+        await self._shut_down(socket.SHUT_RDWR)
+
+    async def evict(self, cause: budget.Cause) -> None:
+        """Refuse the request that is being read, or close the connection.
+
+        A request in progress is cancelled as if its caller had disconnected,
+        without a response that would promise anything.
+        """
+        del cause
+        if self.handling:
+            await self.cancel_request()
+            return
+        is_reading = self.kind in {budget.Kind.HEAD, budget.Kind.BODY}
+        if not is_reading or self._refusal is not None:
+            await self.close()
             return
+        self._refusal = errors.MemoryShort(
+            'the process holds too many unfinished requests',
+            retry_after_s=MEMORY_RETRY_AFTER_S,
+        )
+        self._body = bytearray()
+        # Wakes the task that reads the request.
+        await self._shut_down(socket.SHUT_RD)
 
     async def cancel_request(self) -> None:
         """Cancel the request in progress because its caller disconnected.
@@ -154,6 +202,9 @@
     ) -> None:
         """Send a serialized response."""
         del response
+        if len(payload) > SMALL_RESPONSE_BYTES:
+            await self._transmit_large(payload)
+            return
         await curio.timeout_after(SEND_TIMEOUT_S, self._sock.sendall, payload)
 
     async def _serve(self) -> None:
@@ -169,7 +220,10 @@
         try:
             request = await self._read_request()
         except errors.FlowError as error:
+            if isinstance(error, errors.RequestTimeout):
+                self._guard.record(self, budget.Cause.SLOW_BODY)
             self._handler.record_failure(error)
+            self._set_state(budget.Kind.IDLE)
             if self._is_output_cut:
                 return False
             await self._send(webhandler.error_response(error), last=True)
@@ -177,19 +231,29 @@
             return False
         if request is None:
             return False
+        await self._answer(request)
+        self._set_state(budget.Kind.IDLE)
+        self.busy = False
+        if self._protocol.our_state is h11.DONE:
+            return True
+        await self._discard_input()
+        return False
+
+    async def _answer(self, request: webhandler.Request) -> None:
+        self._set_state(budget.Kind.REQUEST)
+        if len(request.body) > SMALL_BODY_BYTES:
+            await self._hold(budget.Kind.REQUEST, len(request.body))
         self.handling = True
         response = await self.process(request)
         self.handling = False
+        has_body = request.method != 'HEAD'
+        # The request and its body are not needed while the response is sent.
+        del request
         await self._send(
             response,
             last=self._server.closes_after_response,
-            has_body=request.method != 'HEAD',
+            has_body=has_body,
         )
-        self.busy = False
-        if self._protocol.our_state is h11.DONE:
-            return True
-        await self._discard_input()
-        return False
 
     async def _read_request(self) -> webhandler.Request | None:
         head = await self._read_head()
@@ -213,6 +277,7 @@
             body,
             raw_headers,
             self._is_first,
+            self,
         )
 
     async def _read_head(self) -> h11.Request | None:
@@ -225,6 +290,7 @@
         if not has_input:
             return None
         self.busy = True
+        self.kind = budget.Kind.HEAD
         bounds = self._server.bounds
         event = await _read_within(
             bounds.head_timeout_s, 'head', self._next_head
@@ -244,19 +310,35 @@
         return not self._input_ended and bool(await self._receive())
 
     async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if not isinstance(event, h11.Data):
-                raise errors.BadRequest(
-                    'the connection ended before the body was complete'
-                )
-            body += event.data
-            requesthead.check_body_size(
-                len(body), self._server.bounds.body_bytes
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        self._meter = framing.ChunkMeter()
+        try:
+            while not isinstance(event, h11.EndOfMessage):
+                self._append_body(event)
+                await self._turns.record_event()
+                event = await self._next_event()
+        finally:
+            await self._turns.end_block()
+            body, self._body = self._body, bytearray()
+            self._meter = None
+        return bytes(body)
+
+    def _append_body(self, event: Any) -> None:
+        if not isinstance(event, h11.Data):
+            raise errors.BadRequest(
+                'the connection ended before the body was complete'
             )
+        self._body += event.data
+        requesthead.check_body_size(
+            len(self._body), self._server.bounds.body_bytes
+        )
+        try:
+            self._meter.record(len(event.data))
+        except errors.BodyFragmented:
+            self._guard.record(self, budget.Cause.FRAMING)
+            raise
 
     async def _next_head(self) -> Any:
         return await self._next_event(in_head=True)
@@ -270,11 +352,32 @@
                 return event
             if self._protocol.they_are_waiting_for_100_continue:
                 await self._send_continue()
+            await self._turns.end_block()
+            await self._hold_unfinished(in_head=in_head)
             if self._input_ended or not await self._receive():
-                raise errors.BadRequest(
+                raise self._refusal or errors.BadRequest(
                     'the connection ended before the request was complete'
                 )
 
+    async def _hold_unfinished(self, *, in_head: bool) -> None:
+        """Count what was received of a request that is not complete."""
+        if in_head:
+            size = len(self._protocol.trailing_data[0])
+            await self._hold(budget.Kind.HEAD, size)
+        else:
+            await self._hold(budget.Kind.BODY, len(self._body))
+
+    async def _hold(self, kind: budget.Kind, size: int) -> None:
+        await self._guard.hold(self, kind, size)
+
+    def _set_state(self, kind: budget.Kind) -> None:
+        """Record that the connection has progressed to another state."""
+        self.progressed_at = self._guard.clock()
+        if self.held_bytes or self.uncounted_bytes:
+            self.uncounted_bytes = 0
+            self._guard.budget.hold(self, kind, 0)
+        self.kind = kind
+
     async def _send_continue(self) -> None:
         interim = h11.InformationalResponse(status_code=100, headers=[])
         self._is_output_cut = True
@@ -294,6 +397,11 @@
 
     async def _receive(self) -> bytes:
         received = await self._sock.recv(_RECEIVE_BYTES)
+        if self._refusal is not None:
+            raise self._refusal
+        self.progressed_at = self._guard.clock()
+        if self._meter is not None:
+            self._meter.received_bytes += len(received)
         self._input_ended = not received
         self._protocol.receive_data(received)
         return received
@@ -317,8 +425,40 @@
             blocks.append(self._protocol.send(h11.Data(data=body)))
         blocks.append(self._protocol.send(h11.EndOfMessage()))
         payload = b''.join(block for block in blocks if block)
+        if len(payload) > SMALL_RESPONSE_BYTES and response.body is not None:
+            # The payload has a copy of the body.
+            response = response._replace(body=b'')
+        del body, blocks
         await self.transmit(payload, response)
 
+    async def _transmit_large(self, payload: bytes) -> None:
+        """Send a response that may wait for its reader."""
+        self._set_state(budget.Kind.ANSWER)
+        await self._hold(budget.Kind.ANSWER, len(payload))
+        started_at = self._guard.clock()
+        sent_bytes = 0
+        while sent_bytes < len(payload):
+            allowed_s = SEND_TIMEOUT_S + sent_bytes / MIN_SEND_BYTES_PER_S
+            try:
+                sent_bytes += await curio.timeout_after(
+                    min(
+                        SEND_TIMEOUT_S,
+                        started_at + allowed_s - self.progressed_at,
+                    ),
+                    self._sock.send,
+                    memoryview(payload)[sent_bytes:],
+                )
+            except curio.TaskTimeout:
+                self._guard.record(self, budget.Cause.SLOW_READER)
+                raise
+            self.progressed_at = self._guard.clock()
+
+    async def _shut_down(self, direction: int) -> None:
+        try:
+            await self._sock.shutdown(direction)
+        except OSError:
+            return
+
     def _serialize(
         self, response: webhandler.Response
     ) -> tuple[int, bytes, list[tuple[str, str]]]:
@@ -357,6 +497,10 @@
         """
         linger_s = 0.5
         await self._sock.shutdown(socket.SHUT_WR)
+        if self._refusal is not None:
+            # `evict` has shut down the input, whose end can't be seen.
+            await curio.sleep(_EVICTED_LINGER_S)
+            linger_s = 0
         async with curio.ignore_after(linger_s):
             received = b'unread'
             while received:
--- a/cardamomflow/webhandler.py
+++ b/cardamomflow/webhandler.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from cardamomflow import errors, jsonbody
+from cardamomflow.heldbytes import budget
 
 
 class Request(NamedTuple):
@@ -22,6 +23,8 @@
     raw_headers : sequence of (bytes, bytes)
     is_first : bool
         Whether it is the first request on its connection.
+    holder : budget.Holder or None
+        Connection that holds what the request and its answer need.
     """
 
     method: str
@@ -30,6 +33,7 @@
     body: bytes
     raw_headers: Sequence[tuple[bytes, bytes]] = ()
     is_first: bool = False
+    holder: budget.Holder | None = None
 
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object.
--- a/cardamomflow/webserver.py
+++ b/cardamomflow/webserver.py
@@ -4,6 +4,7 @@
 `serverconnection` reads the requests and writes the responses.
 """
 
+import errno
 import select
 import socket
 
@@ -11,12 +12,17 @@
 from curio import io as curio_io
 
 from cardamomflow import links, serverconnection, webhandler
+from cardamomflow.heldbytes import budget, guard, sizing
 
 MAX_CONNECTIONS = 8192
 _BACKLOG = 1024
 _ACCEPT_RETRY_S = 0.05
 _DRAIN_POLL_S = 0.01
 _WATCH_INTERVAL_S = 0.05
+# Buffers of the operating system for each connection, which doubles them. They
+# carry 100 Mbit/s over a path of 10 ms; without a bound, the system takes up to
+# several MB for a caller that does not read.
+_SOCKET_BUFFER_BYTES = 65_536
 
 
 class WebServer(serverconnection.Server):
@@ -34,11 +40,29 @@
         port: int,
         handler: webhandler.RequestHandler,
         max_connections: int = MAX_CONNECTIONS,
+        client_guard: guard.Guard | None = None,
     ) -> None:
-        """Bind the listening socket, so that port 0 is resolved."""
+        """Bind the listening socket, so that port 0 is resolved.
+
+        Parameters
+        ----------
+        address : str
+        port : int
+        handler : webhandler.RequestHandler
+        max_connections : int
+            Limit of this server; further connections are refused.
+        client_guard : guard.Guard, optional
+            Limits that the servers of a process share.
+        """
+        self._guard = client_guard or guard.Guard(sizing.Limits())
         self._handler = handler
         self._max_connections = max_connections
         self._listener = listen(address, port)
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            # Accepted sockets inherit them.
+            self._listener.setsockopt(
+                socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
+            )
         self.port: int = self._listener.getsockname()[1]
         self._stopping = False
         self._close_enabled = False
@@ -59,12 +83,25 @@
             while not self._closed:
                 try:
                     client, _ = await self._listener.accept()
-                except OSError:
-                    # No free descriptors, or the peer has disconnected.
-                    await curio.sleep(_ACCEPT_RETRY_S)
+                except OSError as error:
+                    await self._recover(error)
                     continue
                 await self._add_connection(client)
 
+    async def _recover(self, error: OSError) -> None:
+        """Make room after a failed accept.
+
+        The peer has disconnected, or no descriptor is free.
+        """
+        if error.errno in {errno.EMFILE, errno.ENFILE}:
+            await self._guard.shrink(budget.Cause.DESCRIPTORS)
+        await curio.sleep(_ACCEPT_RETRY_S)
+
+    @property
+    def client_guard(self) -> guard.Guard:
+        """Limits that the connections of the process share."""
+        return self._guard
+
     @property
     def closes_after_response(self) -> bool:
         """Whether each response closes its connection."""
@@ -137,6 +174,10 @@
             self.record_refused_connection()
             await client.close()
             return
+        if not await self._guard.make_room(client.fileno()):
+            self.record_refused_connection()
+            await client.close()
+            return
         links.set_no_delay(client)
         connection = self.create_connection(client)
         self._connections.add(connection)
