Count requests, answers and frames as the process holds them

Cause: bodies of ended requests stayed in memory through tracebacks, reference cycles and copies: the last parsed block of each connection (23 MB of 357 connections), the response beside its payload, the unsent copy of a body at a failed connection to a backend server, and the body of a refused request while its refusal was sent. Evicted requests ended only after all connections had received their next input.

Change: requestreading reads requests and keeps no parsed block; a request drops its bodies when it has its answer; DuplexSocket queues views instead of copies; parts of answers count for the connection that they are for; reading waits for evicted requests to end; heads in thousands of pieces are refused.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -50,6 +50,7 @@
             process_context.clock,
             self.dispatcher.occupancy.keeps_idle_connections,
             process_context.body_budget,
+            process_context.client_guard,
         )
         self.peer_client = peering.PeerClient(process_context, self)
         self._clock = process_context.clock
@@ -68,6 +69,9 @@
         self._changed_by_work[work] = changed
         try:
             await self._run_until_finished(work, changed)
+        except curio.CancelledError:
+            work.drop_bodies()
+            raise
         finally:
             self._changed_by_work.pop(work)
             ending = work.end()
--- a/cardamomflow/duplex.py
+++ b/cardamomflow/duplex.py
@@ -10,6 +10,7 @@
 can't block its caller.
 """
 
+import collections
 import socket
 
 import curio
@@ -31,7 +32,10 @@
         self._sock = sock
         # The `send` of curio waits while the buffer of the socket is full.
         self._send_now = sock._socket.send  # noqa: SLF001
-        self._unsent = bytearray()
+        # Blocks in the order of their sending; they are not copied.
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        # Whether posted bytes were dropped after a failure to send.
+        self._is_cut = False
         # Number of tasks that may wait for the descriptor.
         self._users = 0
         self._is_closing = False
@@ -46,7 +50,12 @@
 
         Stays true after a failure to send.
         """
-        return bool(self._unsent)
+        return self._is_cut or bool(self._unsent)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of posted bytes that were not accepted yet."""
+        return sum(map(len, self._unsent))
 
     async def post(self, payload: bytes) -> None:
         """Send bytes, in the background if the peer does not read.
@@ -54,7 +63,7 @@
         A failure to send ends the stream for `recv`.
         """
         if self._unsent:
-            self._unsent += payload
+            self._unsent.append(memoryview(payload))
             return
         try:
             sent_bytes = self._send_now(payload)
@@ -64,7 +73,7 @@
             await self.shut_down(socket.SHUT_RDWR)
             return
         if sent_bytes < len(payload):
-            self._unsent += memoryview(payload)[sent_bytes:]
+            self._unsent.append(memoryview(payload)[sent_bytes:])
             self._users += 1
             await curio.spawn(self._write, daemon=True)
 
@@ -110,6 +119,9 @@
         try:
             await self._send_unsent()
         except OSError:
+            # The blocks may be large and shared with other sockets.
+            self._is_cut = True
+            self._unsent.clear()
             # An answer that came before the failure can still be received.
             await self.shut_down(socket.SHUT_WR)
         finally:
@@ -117,9 +129,8 @@
 
     async def _send_unsent(self) -> None:
         while self._unsent:
-            block = bytes(self._unsent)
-            await self._sock.sendall(block)
-            del self._unsent[: len(block)]
+            await self._sock.sendall(self._unsent[0])
+            self._unsent.popleft()
 
     async def _end_use(self) -> None:
         self._users -= 1
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -89,10 +89,10 @@
     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
-class BodyFragmented(BadRequest):
-    """The framing of the body costs far more than the body carries."""
+class RequestFragmented(BadRequest):
+    """The pieces of the request cost far more than they carry."""
 
-    code = 'body_fragmented'
+    code = 'request_fragmented'
 
 
 class MethodNotAllowed(BadRequest):
--- a/cardamomflow/frames.py
+++ b/cardamomflow/frames.py
@@ -44,6 +44,10 @@
         """Bytes of a frame that is not complete."""
         return len(self._buffer)
 
+    def clear(self) -> None:
+        """Drop a frame that is not complete; nothing may be fed after it."""
+        self._buffer = bytearray()
+
     def feed(self, received: bytes) -> Iterator[MessageT]:
         """Append received bytes and yield the complete messages.
 
--- a/cardamomflow/heldbytes/budget.py
+++ b/cardamomflow/heldbytes/budget.py
@@ -9,6 +9,7 @@
 import enum
 import heapq
 from collections.abc import Callable
+from typing import Any
 
 from cardamomflow.heldbytes import sizing
 
@@ -46,7 +47,8 @@
     DESCRIPTORS = 'descriptors'
     FRAMING = 'framing'
     SLOW_READER = 'slow_reader'
-    SLOW_BODY = 'slow_body'
+    # The head or the body did not arrive in time.
+    SLOW_REQUEST = 'slow_request'
 
 
 class Holder(abc.ABC):
@@ -173,11 +175,7 @@
                 holder for holder in holders if holder.kind is not Kind.REQUEST
             ]
             if waiting:
-                return heapq.nlargest(
-                    max(1, len(waiting) // SURPLUS_SHARE),
-                    waiting,
-                    key=lambda holder: holder.waited_s(now),
-                )
+                return _take_share(waiting, _waited_key(now))
         return []
 
     def _resize(self, holder: Holder, kind: Kind, size: int) -> None:
@@ -205,7 +203,9 @@
         large_bytes = self.held_bytes - self._small_bytes
         freed = limit // FREED_SHARE
         if large_bytes > limit - reserve:
-            return self._evict(large_bytes - limit + reserve + freed, is_small=False)
+            return self._evict(
+                large_bytes - limit + reserve + freed, is_small=False
+            )
         if self.held_bytes <= limit:
             return []
         is_small = self._small_bytes > reserve
@@ -240,13 +240,27 @@
                 and (holder.held_bytes <= SMALL_HOLDER_BYTES) is is_small
             ]
             if holders:
-                return heapq.nlargest(
-                    max(1, len(holders) // SURPLUS_SHARE),
-                    holders,
-                    key=lambda holder: (
-                        holder.held_bytes
-                        * (holder.waited_s(now) + _PROGRESS_GRACE_S),
-                        holder.progressed_at,
-                    ),
-                )
+                return _take_share(holders, _cost_key(now))
         return []
+
+
+def _waited_key(now: float) -> Callable[[Holder], float]:
+    """Return the order of connections by the time without progress."""
+    return lambda holder: holder.waited_s(now)
+
+
+def _cost_key(now: float) -> Callable[[Holder], tuple[float, float]]:
+    """Return the order of connections by bytes and time without progress."""
+    return lambda holder: (
+        holder.held_bytes * (holder.waited_s(now) + _PROGRESS_GRACE_S),
+        holder.progressed_at,
+    )
+
+
+def _take_share(
+    holders: list[Holder], key: Callable[[Holder], Any]
+) -> list[Holder]:
+    """Return a small share of some connections, those with the largest key."""
+    return heapq.nlargest(
+        max(1, len(holders) // SURPLUS_SHARE), holders, key=key
+    )
--- a/cardamomflow/heldbytes/framing.py
+++ b/cardamomflow/heldbytes/framing.py
@@ -31,7 +31,7 @@
 
         Raises
         ------
-        errors.BodyFragmented
+        errors.RequestFragmented
             The framing costs far more than the body carries.
         """
         self._chunk_count += 1
@@ -43,7 +43,7 @@
             framing_bytes > FRAMING_ALLOWANCE_BYTES + useful_bytes
             or unused_bytes > UNPARSED_ALLOWANCE_BYTES + useful_bytes
         ):
-            raise errors.BodyFragmented(
+            raise errors.RequestFragmented(
                 f'{self._chunk_count} chunks carry only'
                 f' {self._payload_bytes} bytes'
             )
--- a/cardamomflow/heldbytes/guard.py
+++ b/cardamomflow/heldbytes/guard.py
@@ -14,10 +14,22 @@
 from cardamomflow.heldbytes import budget, sizing
 
 LOG_INTERVAL_S = 1.0
+# Turns of the loop in which an evicted connection or request ends.
+SETTLE_TURNS = 8
 # Bytes of the parts of an answer that are counted together.
 GROW_STEP_BYTES = 4096
 
 
+_GAUGES_BY_KIND = {
+    budget.Kind.HEAD: 'clients.held_head',
+    budget.Kind.BODY: 'clients.held_body',
+    budget.Kind.REQUEST: 'clients.held_request',
+    budget.Kind.ANSWER: 'clients.held_answer',
+    budget.Kind.FRAME: 'clients.held_frame',
+}
+_MS = 1000
+
+
 class Guard:
     """Limits on the clients of one process.
 
@@ -50,11 +62,34 @@
         self.clock = clock
         self._journal = journal
         self._metrics = metrics
+        # Evicted connections whose requests have not ended yet.
+        self._ending: set[budget.Holder] = set()
         self._log_after_by_cause: dict[budget.Cause, float] = {}
         self._unlogged_by_cause = dict.fromkeys(budget.Cause, 0)
         if metrics is not None:
             self._register_gauges(metrics)
 
+    def close(self, holder: budget.Holder) -> None:
+        """Remove a connection that has ended."""
+        self.budget.close(holder)
+        self._ending.discard(holder)
+
+    async def settle(self) -> None:
+        """Let evicted requests end before more bytes are received.
+
+        They end in the next turns of the loop. Without this, all connections
+        that have input now would receive it first.
+        """
+        for _ in range(SETTLE_TURNS):
+            if not self._ending:
+                return
+            self._ending = {
+                holder
+                for holder in self._ending
+                if holder.kind is budget.Kind.REQUEST
+            }
+            await curio.sleep(0)
+
     async def hold(
         self, holder: budget.Holder, kind: budget.Kind, size: int
     ) -> None:
@@ -97,11 +132,14 @@
     async def shrink(self, cause: budget.Cause) -> bool:
         """Close the least deserving connections; return whether any is."""
         surplus = self.budget.choose_surplus()
+        expected_count = self.budget.connection_count - len(surplus)
         await self._evict(surplus, cause)
         # The tasks of the closed connections run now and close the
         # descriptors.
-        await curio.sleep(0)
-        await curio.sleep(0)
+        for _ in range(SETTLE_TURNS):
+            if self.budget.connection_count <= expected_count:
+                break
+            await curio.sleep(0)
         return bool(surplus)
 
     def record(self, holder: budget.Holder, cause: budget.Cause) -> None:
@@ -123,7 +161,7 @@
                 cause=cause,
                 sender=holder.sender,
                 doing=holder.kind,
-                waited_ms=round(holder.waited_s(now) * 1000),
+                waited_ms=round(holder.waited_s(now) * _MS),
                 held_bytes=self.budget.held_bytes,
                 connections=self.budget.connection_count,
                 left_out=left_out,
@@ -134,11 +172,13 @@
     ) -> None:
         for holder in holders:
             self.record(holder, cause)
+            if holder.kind is budget.Kind.REQUEST:
+                self._ending.add(holder)
             await holder.evict(cause)
 
     def _register_gauges(self, metrics: Any) -> None:
-        for kind in budget.Kind:
-            metrics.register_gauge(f'clients.held_{kind}', self._reader(kind))
+        for kind, name in _GAUGES_BY_KIND.items():
+            metrics.register_gauge(name, self._reader(kind))
         metrics.register_gauge(
             'clients.connections', lambda: self.budget.connection_count
         )
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -283,6 +283,7 @@
         """Fetch parts on behalf of another host."""
         work.deadline = min(work.deadline, self.grace_period.answer_by)
         ending = await self.active_requests.run_parts(work, report)
+        work.drop_bodies()
         self._log_request(work, ending, asked_by=asked_by)
 
     def _sending_s(self, route: routes.Route) -> float:
@@ -389,6 +390,7 @@
         if subrequest.failure_reason is not None
     }
     reason = ', '.join(sorted(reasons)) or 'no answer in time'
+    work.drop_bodies()
     match ending:
         case requeststate.Ending.NOT_RUN:
             raise errors.NoReplica(reason, retry_after_s=retry_delay_s)
--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -192,7 +192,7 @@
         finally:
             self.is_open = False
             if self._guard is not None:
-                self._guard.budget.close(self)
+                self._guard.close(self)
             self._liveness_checker.remove(self)
             # In another task, since `run` may end by cancellation.
             await curio.spawn(self._release, writer, daemon=True)
@@ -202,6 +202,8 @@
         """Close the link at once."""
         del cause
         await self._abort()
+        self._reader.clear()
+        self._unsent.clear()
 
     async def close(self) -> None:
         """Close the link after all posted messages are sent.
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -387,12 +387,6 @@
     MetricDefinition(
         'host.open_requests', 'host_open_requests', '', 'Requests in progress.'
     ),
-    MetricDefinition(
-        'clients.held_idle',
-        'client_held_idle_bytes',
-        '',
-        'Bytes held for idle connections.',
-    ),
     MetricDefinition(
         'clients.held_head',
         'client_held_head_bytes',
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -28,6 +28,7 @@
     routes,
     webclient,
 )
+from cardamomflow.heldbytes import budget, guard
 from cardamomflow.platform import replyheaders, wire
 
 # A connection that was idle for longer may have become unresponsive without an
@@ -44,6 +45,10 @@
 # Limit for the body of a failure, which is only passed on.
 MAX_FAILURE_BODY_BYTES = 262_144
 _RECEIVE_BYTES = 65_536
+# A larger body is sent in a call of its own instead of being copied.
+_JOINED_BODY_BYTES = 16_384
+# Blocks of a request before its body.
+_HEAD_BLOCKS = 3
 _MS = 1000
 _LINE_END = b'\r\n'
 _END_OF_MESSAGE = h11.EndOfMessage()
@@ -59,6 +64,8 @@
         Without the headers that this host sets.
     body : bytes
     request_id : bytes
+    holder : budget.Holder or None
+        Connection of the client that the answer is for.
     """
 
     method: bytes
@@ -66,6 +73,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     request_id: bytes
+    holder: budget.Holder | None = None
 
 
 def create_request_event(message: Message) -> h11.Request:
@@ -119,6 +127,8 @@
         backend servers.
     body_budget : bodybudget.BodyBudget
         Limits the incomplete bodies of all connections.
+    client_guard : guard.Guard
+        Limits the parts of answers that requests of clients wait with.
     """
 
     def __init__(
@@ -128,8 +138,10 @@
         clock: Callable[[], float],
         may_keep: Callable[[str], bool],
         body_budget: bodybudget.BodyBudget[Any],
+        client_guard: guard.Guard,
     ) -> None:
         self.body_budget = body_budget
+        self._guard = client_guard
         self._may_keep = may_keep
         self._backends_by_id = backends_by_id
         self._listener = listener
@@ -225,6 +237,9 @@
         elif connection.usable_until > self._clock():
             idle = self._idle_by_id.setdefault(attempt.backend_id, [])
             idle.append(connection)
+        holder = subrequest.work.message.holder
+        if holder is not None and not subrequest.work.ended:
+            await self._guard.add_part(holder, len(reply.body))
         await self._listener.on_attempt_answered(attempt, reply)
 
     async def remove_connection(
@@ -269,6 +284,15 @@
     async def _send_on(
         self, connection: '_Connection', attempt: requeststate.Attempt
     ) -> None:
+        if attempt.subrequest.work.ended:
+            # The body of the request may have been released.
+            self._idle_by_id.setdefault(connection.backend_id, []).append(
+                connection
+            )
+            await self._listener.on_attempt_failed(
+                attempt, limits.CallOutcome.CANCELLED
+            )
+            return
         self._busy.add(connection)
         await connection.send(attempt)
 
@@ -319,9 +343,11 @@
         self.overdue_at = work.deadline + OVERDUE_GRACE_S
         self._request_id = work.message.request_id
         self._interim_count = 0
-        payload = self._serialize(work.message, work.deadline)
+        head, body = self._serialize(work.message, work.deadline)
         attempt.sent = True
-        await self._sock.post(payload)
+        await self._sock.post(head)
+        if body:
+            await self._post_body(body)
 
     async def run(self) -> None:
         """Read answers until the connection is closed."""
@@ -348,7 +374,25 @@
         self._outcome = outcome
         await self._sock.shut_down(socket.SHUT_RDWR)
 
-    def _serialize(self, message: Message, deadline: float) -> bytes:
+    async def _post_body(self, body: bytes) -> None:
+        """Send a large body; what the peer does not take yet is counted."""
+        await self._sock.post(body)
+        if self._sock.has_unsent_bytes:
+            await self._count(self._sock.unsent_bytes)
+
+    async def _count(self, size: int) -> None:
+        """Count bytes that are held for this backend server."""
+        evicted = self._transport.body_budget.add(self.backend_id, self, size)
+        for connection in evicted:
+            await connection.close(limits.CallOutcome.FAILED)
+
+    def _serialize(
+        self, message: Message, deadline: float
+    ) -> tuple[bytes, bytes]:
+        """Return the request, and separately a large body.
+
+        The attempts of a request share a large body.
+        """
         remaining_ms = max(1, int((deadline - self._clock()) * _MS))
         head = self._protocol.send(self._transport.request_event(message))
         blocks = [
@@ -359,7 +403,9 @@
         if message.body:
             blocks.append(self._protocol.send(h11.Data(data=message.body)))
         blocks.append(self._protocol.send(_END_OF_MESSAGE))
-        return b''.join(blocks)
+        if len(message.body) <= _JOINED_BODY_BYTES:
+            return b''.join(blocks), b''
+        return b''.join(blocks[:_HEAD_BLOCKS]), message.body
 
     async def _receive(self) -> bool:
         received = await self._sock.recv(_RECEIVE_BYTES)
@@ -432,11 +478,7 @@
         )
         if len(self._body) > limit_bytes:
             return False
-        evicted = self._transport.body_budget.add(
-            self.backend_id, self, len(block)
-        )
-        for connection in evicted:
-            await connection.close(limits.CallOutcome.FAILED)
+        await self._count(len(block))
         return not self._closed
 
     def _pop_body(self) -> bytes:
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -97,12 +97,9 @@
                 CONNECT_TIME_S if request.is_first else 0,
             ),
         )
-        if route.merges_answers:
-            return _merged_response(work)
-        reply = work.subrequests[0].reply or work.subrequests[0].error_reply
-        return webhandler.Response(
-            reply.status, None, reply.headers, reply.body
-        )
+        response = _response(work)
+        work.drop_bodies()
+        return response
 
 
 class ReadinessHandler(webhandler.RequestHandler):
@@ -148,9 +145,17 @@
         headers,
         request.body,
         request_id.encode('latin-1'),
+        request.holder,
     )
 
 
+def _response(work: requeststate.Work) -> webhandler.Response:
+    if work.route.merges_answers:
+        return _merged_response(work)
+    reply = work.subrequests[0].reply or work.subrequests[0].error_reply
+    return webhandler.Response(reply.status, None, reply.headers, reply.body)
+
+
 def _merged_response(work: requeststate.Work) -> webhandler.Response:
     parts = work.parts()
     return webhandler.Response(
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -14,6 +14,8 @@
 
 # Size of the records that the answer to a query consists of.
 RECORD_BYTES = 16
+# Larger bodies are released as soon as a request has its answer.
+SMALL_BODY_BYTES = 4096
 # Part of the target that is reserved for the network between this host and the
 # caller (3 ms each way for the customer with the slower network) and for
 # writing the answer.
@@ -151,6 +153,13 @@
         # 1 if another host may have made an attempt before, otherwise 0.
         self.remote_attempts = 0
 
+    def drop_bodies(self) -> None:
+        """Release large bodies of answers."""
+        for name in ('reply', 'error_reply'):
+            reply = getattr(self, name)
+            if reply is not None and len(reply.body) > SMALL_BODY_BYTES:
+                setattr(self, name, reply._replace(body=b''))
+
     @property
     def open_attempts(self) -> list['Attempt']:
         """Attempts that have not ended."""
@@ -359,6 +368,17 @@
         attainable = len(self.subrequests) - self.failed_count
         return Ending.LATE if attainable >= self.needed else Ending.FAILED
 
+    def drop_bodies(self) -> None:
+        """Release the large bodies of a request that has its answer.
+
+        A request and its attempts refer to each other, so they stay in memory
+        until the next garbage collection, and in log tasks.
+        """
+        if len(self.message.body) > SMALL_BODY_BYTES:
+            self.message = self.message._replace(body=b'')
+        for subrequest in self.subrequests:
+            subrequest.drop_bodies()
+
     def parts(self) -> list[Reply]:
         """Return the parts received."""
         return [
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -9,15 +9,20 @@
 import http
 import json
 import socket
-from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import curio
 import h11
 from curio import io as curio_io
 
-from cardamomflow import errors, links, requesthead, webhandler
-from cardamomflow.heldbytes import budget, framing, guard, turns
+from cardamomflow import (
+    errors,
+    links,
+    requesthead,
+    requestreading,
+    webhandler,
+)
+from cardamomflow.heldbytes import budget, guard
 
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 262_144
@@ -116,18 +121,13 @@
         self._sock = sock
         self._handler = handler
         self._server = server
-        self._input_ended = False
         self._is_first = True
-        # Whether an interim response may have been sent in part.
-        self._is_output_cut = False
-        # Why the request that is being read is refused.
-        self._refusal: errors.FlowError | None = None
-        self._body = bytearray()
-        self._meter: framing.ChunkMeter | None = None
-        self._turns = turns.Turns(self._guard.lane)
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.bounds.head_bytes
         )
+        self._reader = requestreading.RequestReader(
+            sock, self._protocol, self, self._guard, lambda: server.bounds
+        )
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -137,9 +137,12 @@
                 await self._serve()
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             return
+        except curio.CancelledError as cancelled:
+            # The task keeps the exception; its frames would keep the request.
+            raise cancelled.with_traceback(None) from None
         finally:
             self.busy = False
-            self._guard.budget.close(self)
+            self._guard.close(self)
             self._server.discard(self)
 
     async def close(self) -> None:
@@ -156,15 +159,16 @@
         if self.handling:
             await self.cancel_request()
             return
-        is_reading = self.kind in {budget.Kind.HEAD, budget.Kind.BODY}
-        if not is_reading or self._refusal is not None:
+        is_sending = self.kind in {budget.Kind.IDLE, budget.Kind.ANSWER}
+        if is_sending or self._reader.is_refused:
             await self.close()
             return
-        self._refusal = errors.MemoryShort(
-            'the process holds too many unfinished requests',
-            retry_after_s=MEMORY_RETRY_AFTER_S,
+        self._reader.refuse(
+            errors.MemoryShort(
+                'the process holds too many unfinished requests',
+                retry_after_s=MEMORY_RETRY_AFTER_S,
+            )
         )
-        self._body = bytearray()
         # Wakes the task that reads the request.
         await self._shut_down(socket.SHUT_RD)
 
@@ -191,7 +195,9 @@
         try:
             return await self._handler.handle(request)
         except errors.FlowError as error:
-            failure = error
+            # With its traceback, the error and this frame would keep each
+            # other, and the request, until the next garbage collection.
+            failure = error.with_traceback(None)
         except Exception as error:  # fails only this request
             failure = errors.FlowError(f'internal error: {error!r}')
         self._handler.record_failure(failure)
@@ -217,21 +223,23 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection stays open."""
-        try:
-            request = await self._read_request()
-        except errors.FlowError as error:
-            if isinstance(error, errors.RequestTimeout):
-                self._guard.record(self, budget.Cause.SLOW_BODY)
-            self._handler.record_failure(error)
-            self._set_state(budget.Kind.IDLE)
-            if self._is_output_cut:
-                return False
-            await self._send(webhandler.error_response(error), last=True)
-            await self._discard_input()
-            return False
+        request = await self._read_or_refuse()
         if request is None:
             return False
-        await self._answer(request)
+        self.handling = True
+        response = await self.process(request)
+        self.handling = False
+        payload = self._build_payload(
+            response,
+            last=self._server.closes_after_response,
+            has_body=request.method != 'HEAD',
+        )
+        # The payload has a copy of the body. The bodies of the request and of
+        # the response would stay until the caller has read everything.
+        request = None
+        if response.body and len(response.body) > SMALL_RESPONSE_BYTES:
+            response = response._replace(body=b'')
+        await self.transmit(payload, response)
         self._set_state(budget.Kind.IDLE)
         self.busy = False
         if self._protocol.our_state is h11.DONE:
@@ -239,29 +247,43 @@
         await self._discard_input()
         return False
 
-    async def _answer(self, request: webhandler.Request) -> None:
-        self._set_state(budget.Kind.REQUEST)
-        if len(request.body) > SMALL_BODY_BYTES:
-            await self._hold(budget.Kind.REQUEST, len(request.body))
-        self.handling = True
-        response = await self.process(request)
-        self.handling = False
-        has_body = request.method != 'HEAD'
-        # The request and its body are not needed while the response is sent.
-        del request
-        await self._send(
-            response,
-            last=self._server.closes_after_response,
-            has_body=has_body,
-        )
+    async def _read_or_refuse(self) -> webhandler.Request | None:
+        """Return the next request, or None if the connection ends."""
+        try:
+            return await self._read_request()
+        except errors.FlowError as error:
+            # The frames of the traceback have the body, which would stay
+            # until the refusal is sent.
+            failure = error.with_traceback(None)
+        await self._refuse(failure)
+        return None
+
+    async def _refuse(self, failure: errors.FlowError) -> None:
+        """Refuse a request that can't be read, and end the connection."""
+        if isinstance(failure, errors.RequestTimeout):
+            self._guard.record(self, budget.Cause.SLOW_REQUEST)
+        self._handler.record_failure(failure)
+        self._set_state(budget.Kind.IDLE)
+        if not self._reader.is_output_cut:
+            response = webhandler.error_response(failure)
+            await self.transmit(
+                self._build_payload(response, last=True), response
+            )
+            await self._discard_input()
 
     async def _read_request(self) -> webhandler.Request | None:
-        head = await self._read_head()
+        if not await self._reader.wait_for_input():
+            return None
+        self.busy = True
+        self.kind = budget.Kind.HEAD
+        head = await self._reader.read_head()
         if head is None:
             return None
-        body = await _read_within(
-            self._server.bounds.body_timeout_s, 'body', self._read_body
-        )
+        body = await self._reader.read_body()
+        self._set_state(budget.Kind.REQUEST)
+        if len(body) > SMALL_BODY_BYTES:
+            await self._guard.hold(self, budget.Kind.REQUEST, len(body))
+            self._reader.check_refused()
         target = requesthead.parse_target(head.target.decode('latin-1'))
         raw_headers = head.headers
         if target.host is not None:
@@ -280,96 +302,6 @@
             self,
         )
 
-    async def _read_head(self) -> h11.Request | None:
-        try:
-            has_input = await curio.timeout_after(
-                self._server.bounds.idle_timeout_s, self._wait_for_input
-            )
-        except curio.TaskTimeout:
-            return None
-        if not has_input:
-            return None
-        self.busy = True
-        self.kind = budget.Kind.HEAD
-        bounds = self._server.bounds
-        event = await _read_within(
-            bounds.head_timeout_s, 'head', self._next_head
-        )
-        if not isinstance(event, h11.Request):
-            return None
-        requesthead.check(event, bounds.head_bytes, bounds.body_bytes)
-        return event
-
-    async def _wait_for_input(self) -> bool:
-        """Wait for the first bytes of a request; return whether they came.
-
-        The head timeout does not apply yet.
-        """
-        if self._protocol.trailing_data[0]:
-            return True
-        return not self._input_ended and bool(await self._receive())
-
-    async def _read_body(self) -> bytes:
-        event = await self._next_event()
-        if isinstance(event, h11.EndOfMessage):
-            return b''
-        self._meter = framing.ChunkMeter()
-        try:
-            while not isinstance(event, h11.EndOfMessage):
-                self._append_body(event)
-                await self._turns.record_event()
-                event = await self._next_event()
-        finally:
-            await self._turns.end_block()
-            body, self._body = self._body, bytearray()
-            self._meter = None
-        return bytes(body)
-
-    def _append_body(self, event: Any) -> None:
-        if not isinstance(event, h11.Data):
-            raise errors.BadRequest(
-                'the connection ended before the body was complete'
-            )
-        self._body += event.data
-        requesthead.check_body_size(
-            len(self._body), self._server.bounds.body_bytes
-        )
-        try:
-            self._meter.record(len(event.data))
-        except errors.BodyFragmented:
-            self._guard.record(self, budget.Cause.FRAMING)
-            raise
-
-    async def _next_head(self) -> Any:
-        return await self._next_event(in_head=True)
-
-    async def _next_event(self, *, in_head: bool = False) -> Any:
-        while True:
-            if in_head:
-                requesthead.check_lines(self._protocol.trailing_data[0])
-            event = self._parse()
-            if event is not h11.NEED_DATA:
-                return event
-            if self._protocol.they_are_waiting_for_100_continue:
-                await self._send_continue()
-            await self._turns.end_block()
-            await self._hold_unfinished(in_head=in_head)
-            if self._input_ended or not await self._receive():
-                raise self._refusal or errors.BadRequest(
-                    'the connection ended before the request was complete'
-                )
-
-    async def _hold_unfinished(self, *, in_head: bool) -> None:
-        """Count what was received of a request that is not complete."""
-        if in_head:
-            size = len(self._protocol.trailing_data[0])
-            await self._hold(budget.Kind.HEAD, size)
-        else:
-            await self._hold(budget.Kind.BODY, len(self._body))
-
-    async def _hold(self, kind: budget.Kind, size: int) -> None:
-        await self._guard.hold(self, kind, size)
-
     def _set_state(self, kind: budget.Kind) -> None:
         """Record that the connection has progressed to another state."""
         self.progressed_at = self._guard.clock()
@@ -378,41 +310,13 @@
             self._guard.budget.hold(self, kind, 0)
         self.kind = kind
 
-    async def _send_continue(self) -> None:
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        self._is_output_cut = True
-        await self._sock.sendall(self._protocol.send(interim))
-        self._is_output_cut = False
-
-    def _parse(self) -> Any:
-        try:
-            return self._protocol.next_event()
-        except h11.RemoteProtocolError as error:
-            large = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            if error.error_status_hint == large:
-                raise errors.HeadTooLarge(
-                    f'the head exceeds {self._server.bounds.head_bytes} bytes'
-                ) from error
-            raise errors.BadRequest(f'malformed HTTP: {error}') from error
-
-    async def _receive(self) -> bytes:
-        received = await self._sock.recv(_RECEIVE_BYTES)
-        if self._refusal is not None:
-            raise self._refusal
-        self.progressed_at = self._guard.clock()
-        if self._meter is not None:
-            self._meter.received_bytes += len(received)
-        self._input_ended = not received
-        self._protocol.receive_data(received)
-        return received
-
-    async def _send(
+    def _build_payload(
         self,
         response: webhandler.Response,
         *,
         last: bool,
         has_body: bool = True,
-    ) -> None:
+    ) -> bytes:
         status, body, headers = self._serialize(response)
         if last:
             headers.append(('connection', 'close'))
@@ -424,17 +328,12 @@
         if has_body and body:
             blocks.append(self._protocol.send(h11.Data(data=body)))
         blocks.append(self._protocol.send(h11.EndOfMessage()))
-        payload = b''.join(block for block in blocks if block)
-        if len(payload) > SMALL_RESPONSE_BYTES and response.body is not None:
-            # The payload has a copy of the body.
-            response = response._replace(body=b'')
-        del body, blocks
-        await self.transmit(payload, response)
+        return b''.join(block for block in blocks if block)
 
     async def _transmit_large(self, payload: bytes) -> None:
         """Send a response that may wait for its reader."""
         self._set_state(budget.Kind.ANSWER)
-        await self._hold(budget.Kind.ANSWER, len(payload))
+        await self._guard.hold(self, budget.Kind.ANSWER, len(payload))
         started_at = self._guard.clock()
         sent_bytes = 0
         while sent_bytes < len(payload):
@@ -497,7 +396,7 @@
         """
         linger_s = 0.5
         await self._sock.shutdown(socket.SHUT_WR)
-        if self._refusal is not None:
+        if self._reader.is_refused:
             # `evict` has shut down the input, whose end can't be seen.
             await curio.sleep(_EVICTED_LINGER_S)
             linger_s = 0
@@ -505,15 +404,3 @@
             received = b'unread'
             while received:
                 received = await self._sock.recv(_RECEIVE_BYTES)
-
-
-async def _read_within(
-    limit_s: float, part: str, read: Callable[[], Awaitable[Any]]
-) -> Any:
-    """Return a part of a request; raise `RequestTimeout` after the limit."""
-    try:
-        return await curio.timeout_after(limit_s, read)
-    except curio.TaskTimeout:
-        raise errors.RequestTimeout(
-            f'the {part} did not arrive within {limit_s:g} s'
-        ) from None
