Test the choice of connections and the limits of small machines

The answers' limit and the budget together, with half as much again for copies, and the connections now stay within memory_mb by a test; with 3/8 of the free memory for the budget they exceeded it by 6%. Requests for parts of other hosts count for their link.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import curio
+from curio import io as curio_io
 
 from cardamomflow import (
     aggregator,
@@ -79,20 +80,25 @@
                     # No free descriptors, or the peer is already gone.
                     await curio.sleep(_ACCEPT_RETRY_S)
                     continue
-                if self.stopping or not await self._guard.make_room(
-                    sock.fileno()
-                ):
+                if self.stopping:
                     await sock.close()
                     continue
-                links.set_no_delay(sock)
-                link = links.Link(
-                    sock, wire_pb2.Envelope, self._handler, self._guard
-                )
-                await curio.spawn(self._run, link, daemon=True)
+                await self._add_link(await self._guard.admit(sock))
+
+    async def _add_link(self, sock: curio_io.Socket | None) -> None:
+        if sock is None:
+            return
+        links.set_no_delay(sock)
+        link = links.Link(sock, wire_pb2.Envelope, self._handler, self._guard)
+        self._guard.budget.open(link)
+        await curio.spawn(self._run, link, daemon=True)
 
     async def _run(self, link: links.Link[wire_pb2.Envelope]) -> None:
-        await self._handler.on_opened(link)
-        await link.run()
+        try:
+            await self._handler.on_opened(link)
+            await link.run()
+        finally:
+            self._guard.close(link)
 
 
 async def run_entry(process_context: context.Context) -> exitstatus.ExitStatus:
--- a/cardamomflow/heldbytes/guard.py
+++ b/cardamomflow/heldbytes/guard.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import curio
+from curio import io as curio_io
 
 from cardamomflow import events
 from cardamomflow.heldbytes import budget, sizing
@@ -107,27 +108,31 @@
             if evicted:
                 await self._evict(evicted, budget.Cause.BYTES)
 
-    async def make_room(self, descriptor: int) -> bool:
-        """Close the least deserving connections if too many are open.
+    async def admit(self, sock: curio_io.Socket) -> curio_io.Socket | None:
+        """Make room for an accepted connection.
 
-        Parameters
-        ----------
-        descriptor : int
-            Of a connection that was just accepted. It is the lowest free
-            number, so at least as many descriptors are open.
+        Closes the least deserving connections if too many are open. The
+        descriptor of a new socket is the lowest free number, so at least as
+        many are open.
 
         Returns
         -------
-        bool
-            Whether the accepted connection may stay.
+        curio.io.Socket or None
+            The socket to use; None if the connection was closed, because
+            requests of all others are being answered.
         """
-        if descriptor >= self.limits.descriptors:
+        if sock.fileno() >= self.limits.descriptors:
             cause = budget.Cause.DESCRIPTORS
         elif self.budget.connection_count >= self.limits.connections:
             cause = budget.Cause.CONNECTIONS
         else:
-            return True
-        return await self.shrink(cause)
+            return sock
+        is_admitted = await self.shrink(cause)
+        # A copy gets one of the numbers that are free now. Otherwise, each
+        # time these are used up, one more number over the limit would be.
+        copy = sock._socket.dup() if is_admitted else None  # noqa: SLF001
+        await sock.close()
+        return None if copy is None else curio_io.Socket(copy)
 
     async def shrink(self, cause: budget.Cause) -> bool:
         """Close the least deserving connections; return whether any is."""
--- a/cardamomflow/heldbytes/sizing.py
+++ b/cardamomflow/heldbytes/sizing.py
@@ -65,7 +65,7 @@
     # A machine smaller than the base gets small limits instead of none.
     free_bytes = max(memory_bytes - BASE_BYTES, memory_bytes // 8)
     return limits._replace(
-        held_bytes=free_bytes * 3 // 8,
+        held_bytes=free_bytes * 5 // 16,
         answer_bytes=free_bytes // 4,
         connections=max(
             _MIN_CONNECTIONS,
--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -97,6 +97,7 @@
         self._timer = liveness.LivenessTimer(time.monotonic())
         self._liveness_checker = handler.liveness_checker or LivenessChecker()
         self._sent_bytes = 0
+        self._work_bytes = 0
 
     @property
     def unsent_bytes(self) -> int:
@@ -180,8 +181,6 @@
     async def run(self) -> None:
         """Read and write until the link ends; never raises on peer failures."""
         self._timer = liveness.LivenessTimer(time.monotonic())
-        if self._guard is not None:
-            self._guard.budget.open(self)
         writer = await curio.spawn(self._write, daemon=True)
         if self._handler.make_ping() is not None:
             await self._liveness_checker.add(self)
@@ -191,8 +190,6 @@
             self.is_open = False
         finally:
             self.is_open = False
-            if self._guard is not None:
-                self._guard.close(self)
             self._liveness_checker.remove(self)
             # In another task, since `run` may end by cancellation.
             await curio.spawn(self._release, writer, daemon=True)
@@ -258,11 +255,20 @@
                 await curio.sleep(0)
         await self._count_held()
 
+    async def add_work(self, size: int) -> None:
+        """Count bytes of requests of the peer; negative when they have ended.
+
+        A peer that holds too much loses its link.
+        """
+        self._work_bytes += size
+        await self._count_held()
+
     async def _count_held(self) -> None:
-        """Count large frames that are incomplete or not yet sent."""
+        """Count requests, and large frames that are incomplete or not sent."""
         if self._guard is None:
             return
         size = self._reader.buffered_bytes + self.unsent_bytes
+        size += self._work_bytes
         if self.held_bytes or size > _SMALL_BYTES:
             await self._guard.hold(self, budget.Kind.FRAME, size)
 
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -37,6 +37,8 @@
 ]
 _NO_PLACEMENT = ownership.Placement(0, {})
 _CLOSE_POLL_S = 0.02
+# Memory of a request for parts besides its message.
+REQUEST_BYTES = 4096
 
 
 class HandoverListener(abc.ABC):
@@ -440,6 +442,7 @@
         await curio.spawn(
             self._serve,
             peer_request,
+            request.ByteSize() + REQUEST_BYTES,
             requests_by_attempt,
             request.asked_by,
             daemon=True,
@@ -448,15 +451,18 @@
     async def _serve(
         self,
         peer_request: '_PeerRequest',
+        held_bytes: int,
         requests_by_attempt: dict[int, '_PeerRequest'],
         asked_by: str,
     ) -> None:
+        await peer_request.link.add_work(held_bytes)
         try:
             await self._server.serve_parts(
                 peer_request.work, peer_request, asked_by
             )
         finally:
             requests_by_attempt.pop(peer_request.attempt_id, None)
+            await peer_request.link.add_work(-held_bytes)
 
     async def _end_parts(
         self, link: linkkeepalive.WireLink, message: wire_pb2.PartsEnd
@@ -478,14 +484,14 @@
     ) -> None:
         self.work = work
         self.attempt_id = attempt_id
-        self._link = link
+        self.link = link
 
     async def send(self, *, is_last: bool) -> None:
         """Send the parts that were not reported yet."""
         if self.work.is_abandoned:
             return
         answer = self.work.take_unreported(self.attempt_id, is_last=is_last)
-        await self._link.post_if_open(wire_pb2.Envelope(parts_answer=answer))
+        await self.link.post_if_open(wire_pb2.Envelope(parts_answer=answer))
 
 
 _GOING_AWAY = wire_pb2.Envelope(going_away=wire_pb2.GoingAway())
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -131,7 +131,6 @@
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
-        self._guard.budget.open(self)
         try:
             async with self._sock:
                 await self._serve()
--- a/cardamomflow/webserver.py
+++ b/cardamomflow/webserver.py
@@ -174,13 +174,15 @@
             self.record_refused_connection()
             await client.close()
             return
-        if not await self._guard.make_room(client.fileno()):
+        admitted = await self._guard.admit(client)
+        if admitted is None:
             self.record_refused_connection()
-            await client.close()
             return
-        links.set_no_delay(client)
-        connection = self.create_connection(client)
+        links.set_no_delay(admitted)
+        connection = self.create_connection(admitted)
         self._connections.add(connection)
+        # Not by its task, which may start after many further connections.
+        self._guard.budget.open(connection)
         connection.task = await curio.spawn(connection.run, daemon=True)
 
     async def _watch_callers(self) -> None:
--- /dev/null
+++ b/tests/test_held_bytes.py
@@ -0,0 +1,242 @@
+"""Limits on what clients hold: sizes, choice of connections, turns."""
+
+import unittest
+from unittest import mock
+
+import curio
+
+from cardamomflow import errors
+from cardamomflow.heldbytes import budget, framing, guard, sizing, turns
+from standins import users
+from tests import loops
+
+LIMIT_BYTES = 1_600_000
+BODY_BYTES = 100_000
+SMALL_BYTES = 10_000
+MB = 1_048_576
+
+
+class _Holder(budget.Holder):
+    def __init__(self, sender, now):
+        super().__init__(sender, now)
+        self.causes = []
+
+    async def evict(self, cause):
+        self.causes.append(cause)
+
+
+class _BudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.limits = sizing.Limits(
+            held_bytes=LIMIT_BYTES, connections=4, descriptors=64
+        )
+        self.budget = budget.Budget(self.limits, lambda: self.now)
+
+    def add(self, sender, size=0, kind=budget.Kind.BODY, waited_s=0.0):
+        """Return a new holder and the holders that its bytes evict."""
+        holder = _Holder(sender, self.now - waited_s)
+        self.budget.open(holder)
+        return holder, self.budget.hold(holder, kind, size)
+
+    def fill(self, sender, count, **options):
+        return [
+            self.add(sender, BODY_BYTES, **options)[0] for _ in range(count)
+        ]
+
+
+class BudgetTest(_BudgetTest):
+    """Choice of the connections that lose their bytes."""
+
+    def test_bytes_under_the_limit_evict_nobody(self):
+        """Guards against a client that is refused in calm conditions."""
+        self.fill('a', 13)
+        _, evicted = self.add('a', SMALL_BYTES)
+        self.assertEqual(evicted, [])
+
+    def test_connection_without_progress_is_chosen(self):
+        """Guards against a budget that refuses whoever comes next."""
+        progressing = self.fill('a', 6)
+        stalled = self.fill('a', 8, waited_s=5.0)
+        newest, evicted = self.add('a', BODY_BYTES)
+        self.assertTrue(evicted)
+        self.assertLessEqual(set(evicted), set(stalled))
+        self.assertNotIn(newest, evicted)
+        self.assertTrue(all(each.held_bytes for each in progressing))
+        self.assertLessEqual(self.budget.held_bytes, LIMIT_BYTES)
+
+    def test_sender_with_the_most_bytes_loses_them(self):
+        """Guards against a crowd that costs other senders their requests."""
+        slow = self.fill('ordinary', 2, waited_s=5.0)
+        self.fill('crowd', 12)
+        _, evicted = self.add('ordinary', BODY_BYTES)
+        self.assertEqual({each.sender for each in evicted}, {'crowd'})
+        self.assertTrue(all(each.held_bytes for each in slow))
+
+    def test_small_requests_have_a_reserve(self):
+        """Guards against large bodies that push out ordinary requests."""
+        small = [self.add('a', SMALL_BYTES, waited_s=9.0)[0] for _ in range(15)]
+        for _ in range(50):
+            _, evicted = self.add('a', BODY_BYTES)
+            self.assertFalse(set(evicted) & set(small))
+        self.assertLessEqual(self.budget.held_bytes, LIMIT_BYTES)
+
+    def test_small_requests_are_bounded_too(self):
+        """Guards against memory without bound in small pieces."""
+        for _ in range(400):
+            self.add('a', SMALL_BYTES)
+        self.assertLessEqual(self.budget.held_bytes, LIMIT_BYTES)
+
+    def test_counts_return_to_zero(self):
+        """Guards against bytes that count after their connection."""
+        holders = self.fill('a', 20)
+        for holder in holders:
+            self.budget.close(holder)
+            self.budget.close(holder)
+            self.assertEqual(
+                self.budget.hold(holder, budget.Kind.BODY, BODY_BYTES), []
+            )
+        self.assertEqual(self.budget.held_bytes, 0)
+        self.assertEqual(set(self.budget.bytes_by_kind.values()), {0})
+        self.assertEqual(self.budget.connection_count, 0)
+        self.assertEqual(self.budget._bytes_by_sender, {})
+
+    def test_surplus_is_of_the_sender_with_the_most_connections(self):
+        """Guards against a crowd that closes other senders' connections."""
+        kind = budget.Kind.IDLE
+        self.add('ordinary', kind=kind, waited_s=50.0)
+        oldest, _ = self.add('crowd', kind=kind, waited_s=9.0)
+        self.add('crowd', kind=kind)
+        self.assertEqual(self.budget.choose_surplus(), [oldest])
+
+    def test_request_in_progress_is_no_surplus(self):
+        """Guards against a request that is cut for an idle connection."""
+        self.add('a', kind=budget.Kind.REQUEST, waited_s=9.0)
+        self.assertEqual(self.budget.choose_surplus(), [])
+
+
+class GuardTest(_BudgetTest):
+    """Applied decisions."""
+
+    def setUp(self):
+        super().setUp()
+        self.guard = guard.Guard(self.limits, clock=lambda: self.now)
+        self.budget = self.guard.budget
+
+    def test_parts_of_an_answer_count_for_the_request(self):
+        """Guards against answers that nothing counts."""
+        holder, _ = self.add('a', kind=budget.Kind.REQUEST)
+
+        async def scenario():
+            for _ in range(20):
+                await self.guard.add_part(holder, BODY_BYTES)
+
+        loops.run(scenario)
+        self.assertEqual(holder.causes[0], budget.Cause.BYTES)
+
+    def test_one_line_a_second_for_each_cause(self):
+        """Guards against a crowd that fills the log."""
+        journal = mock.Mock()
+        client_guard = guard.Guard(self.limits, journal, clock=lambda: self.now)
+        holder = _Holder('a', self.now)
+        for _ in range(50):
+            client_guard.record(holder, budget.Cause.BYTES)
+        client_guard.record(holder, budget.Cause.FRAMING)
+        self.now += guard.LOG_INTERVAL_S
+        client_guard.record(holder, budget.Cause.BYTES)
+        lines = [
+            (call.kwargs['cause'], call.kwargs['left_out'])
+            for call in journal.warning.call_args_list
+        ]
+        self.assertEqual(lines, [('bytes', 0), ('framing', 0), ('bytes', 49)])
+
+
+class SizingTest(unittest.TestCase):
+    """Limits of the smallest and largest machines of the users."""
+
+    def derive(self, **fields):
+        return sizing.derive(users.host_settings('h', 'z', 1, **fields))
+
+    def test_limits_fit_the_machine(self):
+        """Guards against limits that together exceed the memory."""
+        for memory_mb in (96, 152, 200, 552, 4096):
+            limits = self.derive(memory_mb=memory_mb, max_descriptors=1535)
+            counted = limits.held_bytes + limits.answer_bytes
+            connections = limits.connections * sizing.CONNECTION_BYTES
+            with self.subTest(memory_mb):
+                self.assertLessEqual(
+                    sizing.BASE_BYTES + 1.5 * counted + connections,
+                    memory_mb * MB,
+                )
+                self.assertLess(limits.descriptors, 1535)
+
+    def test_smallest_machine_serves_the_largest_messages(self):
+        """Guards against a single legal message over the limits."""
+        limits = self.derive(memory_mb=152, max_descriptors=1535)
+        self.assertGreater(limits.answer_bytes, 16_777_216)
+        self.assertGreater(limits.held_bytes * 7 // 8, 16_777_216)
+
+    def test_settings_without_memory_have_fixed_limits(self):
+        """Guards against deployments that are limited without asking."""
+        limits = self.derive()
+        self.assertEqual(limits.held_bytes, sizing.DEFAULT_HELD_BYTES)
+        self.assertEqual(limits.connections, sizing.DEFAULT_CONNECTIONS)
+
+
+class ChunkMeterTest(unittest.TestCase):
+    """Bodies in chunks that carry much or little."""
+
+    def record(self, count, size, extension=0):
+        meter = framing.ChunkMeter()
+        for _ in range(count):
+            meter.received_bytes += size + extension
+            meter.record(size)
+
+    def test_ordinary_chunks(self):
+        """Guards against a legal body that is refused."""
+        self.record(16_000, 2)
+        self.record(100_000, 5)
+        self.record(100, 65_536)
+
+    def test_chunks_that_carry_nothing(self):
+        """Guards against bodies that cost only the server."""
+        for count, size, extension in ((6000, 1, 0), (40, 1, 10_000)):
+            with (
+                self.subTest(size=size, extension=extension),
+                self.assertRaises(errors.RequestFragmented),
+            ):
+                self.record(count, size, extension)
+
+
+class TurnsTest(unittest.TestCase):
+    """Connections with many events in a block."""
+
+    def test_one_connection_at_a_time_has_the_lane(self):
+        """Guards against a delay that grows with such connections."""
+        events_by_turn = [0]
+
+        async def parse(lane):
+            own_turns = turns.Turns(lane)
+            for _ in range(10 * turns.EVENTS_IN_A_TURN):
+                events_by_turn[-1] += 1
+                await own_turns.record_event()
+            await own_turns.end_block()
+
+        async def watch():
+            while True:
+                events_by_turn.append(0)
+                await curio.sleep(0)
+
+        async def scenario():
+            lane = curio.Lock()
+            watcher = await curio.spawn(watch)
+            async with curio.TaskGroup() as group:
+                for _ in range(8):
+                    await group.spawn(parse, lane)
+            await watcher.cancel()
+
+        loops.run(scenario)
+        # Each connection has one turn before it asks for the lane.
+        late_turns = events_by_turn[5:]
+        self.assertEqual(sum(events_by_turn), 80 * turns.EVENTS_IN_A_TURN)
+        self.assertLessEqual(max(late_turns), 2 * turns.EVENTS_IN_A_TURN)
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -14,11 +14,13 @@
 
 from cardamomflow import (
     errors,
+    requestreading,
     serverconnection,
     webclient,
     webhandler,
     webserver,
 )
+from cardamomflow.heldbytes import guard, sizing
 from tests import loops
 
 _SENDALL = curio_io.Socket.sendall
@@ -324,6 +326,74 @@
         with mock.patch.object(serverconnection, 'SEND_TIMEOUT_S', 0.2):
             loops.run(scenario)
 
+    def test_caller_over_the_limit_takes_the_place_of_an_idle_one(self):
+        """Guards against idle connections that keep out all later callers."""
+        limits = sizing.Limits(connections=3)
+        server = webserver.WebServer(
+            '127.0.0.1', 0, self.handler, client_guard=guard.Guard(limits)
+        )
+        self.addCleanup(server._listener._socket.close)
+
+        async def scenario():
+            async with (
+                loops.serving(server) as port,
+                loops.Caller(port) as oldest,
+                loops.Caller(port) as second,
+                loops.Caller(port) as third,
+            ):
+                await loops.until(lambda: server.connection_count == 3)
+                await second.send(_GET)
+                await second.read_until(b'}')
+                async with loops.Caller(port) as latest:
+                    await latest.send(_GET)
+                    answers = [await latest.read_until(b'}')]
+                    self.assertEqual(await oldest.read_all(), b'')
+                    self.assertEqual(server.connection_count, 3)
+                await second.send(_GET)
+                answers.append(await second.read_until(b'}'))
+                await third.send(_GET)
+                answers.append(await third.read_until(b'}'))
+            return answers
+
+        for answer in loops.run(scenario):
+            self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+
+    def test_evicted_body_is_refused_as_not_run(self):
+        """Guards against an evicted caller without a promise, or run."""
+        limits = sizing.Limits(held_bytes=100_000)
+        server = webserver.WebServer(
+            '127.0.0.1', 0, self.handler, client_guard=guard.Guard(limits)
+        )
+        self.addCleanup(server._listener._socket.close)
+        head = (
+            b'POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 80000\r\n\r\n'
+        )
+
+        async def scenario():
+            async with (
+                loops.serving(server) as port,
+                loops.Caller(port) as stalled,
+                loops.Caller(port) as other,
+            ):
+                await stalled.send(head + b'x' * 60_000)
+                await loops.until(lambda: server.client_guard.budget.held_bytes)
+                await other.send(head + b'x' * 80_000)
+                return await stalled.read_all(), await other.read_until(b'}')
+
+        refusal, answer = loops.run(scenario)
+        self.assertTrue(refusal.startswith(b'HTTP/1.1 503'), refusal)
+        self.assertIn(b'retry-after: 1\r\n', refusal)
+        self.assertIn(b'"code": "memory_short"', refusal)
+        self.assertIn(b'"outcome": "not_run"', refusal)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        self.assertEqual(self.handler.handled, 1)
+
+    def test_head_in_thousands_of_pieces_is_refused(self):
+        """Guards against a head whose pieces cost far more than they carry."""
+        with mock.patch.object(requestreading, 'MAX_HEAD_PIECES', 5):
+            answer = self.answer_to(*[b'x'] * 9, pause_s=0.01)
+        self.assert_refused(answer, 400, 'request_fragmented')
+
     def test_connections_over_the_limit(self):
         """Guards against unbounded connections."""
         server = webserver.WebServer('127.0.0.1', 0, self.handler, 3)
