--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -390,7 +390,8 @@
         if subrequest.failure_reason is not None
     }
     reason = ', '.join(sorted(reasons)) or 'no answer in time'
-    work.drop_bodies()
+    if ending is not requeststate.Ending.ANSWERED:
+        work.drop_bodies()
     match ending:
         case requeststate.Ending.NOT_RUN:
             raise errors.NoReplica(reason, retry_after_s=retry_delay_s)
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -8,7 +8,7 @@
 from cardamomflow import errors
 from cardamomflow.heldbytes import budget, framing, guard, sizing, turns
 from standins import users
-from tests import loops
+from tests import hostworld, loops
 
 LIMIT_BYTES = 1_600_000
 BODY_BYTES = 100_000
@@ -151,6 +151,32 @@
         self.assertEqual(lines, [('bytes', 0), ('framing', 0), ('bytes', 49)])
 
 
+class LargeMessageTest(unittest.TestCase):
+    """Messages whose bodies are released early."""
+
+    def test_large_bodies_are_passed_on_whole(self):
+        """Guards against a body that is released before it is sent."""
+        body = bytes(range(256)) * 350
+
+        async def scenario(world):
+            for backend in world.backends_by_id.values():
+                backend.records = body
+            statement = await world.send_request('/statement/x')
+            payment = await world.send_request('/payment/x', 'POST', body)
+            backend = world.backends_by_id['a0']
+            backend.status = 500
+            failure = await world.send_request('/statement/x')
+            return statement, payment, failure, backend.ran
+
+        *answers, ran = hostworld.run_scenario(
+            scenario, services=('a',), replicas=1
+        )
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(statuses, [200, 200, 500])
+        self.assertEqual([answer.body for answer in answers], [body] * 3)
+        self.assertIn(body, [request.body for request in ran])
+
+
 class SizingTest(unittest.TestCase):
     """Limits of the smallest and largest machines of the users."""
 
