Count parts of answers for other hosts; test the last phase of the suite

Parts that a host fetched for another one were not counted between their arrival and the end of the request. Each request for parts now counts them for its link.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -50,7 +50,6 @@
             process_context.clock,
             self.dispatcher.occupancy.keeps_idle_connections,
             process_context.body_budget,
-            process_context.client_guard,
         )
         self.peer_client = peering.PeerClient(process_context, self)
         self._clock = process_context.clock
--- a/cardamomflow/heldbytes/budget.py
+++ b/cardamomflow/heldbytes/budget.py
@@ -51,6 +51,14 @@
     SLOW_REQUEST = 'slow_request'
 
 
+class PartCounter(abc.ABC):
+    """Counts the parts of the answer to one request."""
+
+    @abc.abstractmethod
+    async def count_part(self, size: int) -> None:
+        """Count the bytes of a part until the request has ended."""
+
+
 class Holder(abc.ABC):
     """A connection of a client.
 
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -25,6 +25,7 @@
     routing,
 )
 from cardamomflow.generated import wire_pb2
+from cardamomflow.heldbytes import budget
 from cardamomflow.platform import backendlink
 
 # Time for which a host stays an owner after its entry is missing. It is longer
@@ -439,10 +440,11 @@
         requests_by_attempt = self._requests_by_link[link]
         requests_by_attempt[request.attempt_id] = peer_request
         self._metrics.increment('host.taken_over')
+        work.message = work.message._replace(part_counter=peer_request)
+        await peer_request.count_part(request.ByteSize() + REQUEST_BYTES)
         await curio.spawn(
             self._serve,
             peer_request,
-            request.ByteSize() + REQUEST_BYTES,
             requests_by_attempt,
             request.asked_by,
             daemon=True,
@@ -451,18 +453,16 @@
     async def _serve(
         self,
         peer_request: '_PeerRequest',
-        held_bytes: int,
         requests_by_attempt: dict[int, '_PeerRequest'],
         asked_by: str,
     ) -> None:
-        await peer_request.link.add_work(held_bytes)
         try:
             await self._server.serve_parts(
                 peer_request.work, peer_request, asked_by
             )
         finally:
             requests_by_attempt.pop(peer_request.attempt_id, None)
-            await peer_request.link.add_work(-held_bytes)
+            await peer_request.end()
 
     async def _end_parts(
         self, link: linkkeepalive.WireLink, message: wire_pb2.PartsEnd
@@ -473,7 +473,7 @@
             await self._server.wake(peer_request.work)
 
 
-class _PeerRequest(PartsReporter):
+class _PeerRequest(PartsReporter, budget.PartCounter):
     """A request for parts of another host."""
 
     def __init__(
@@ -484,14 +484,25 @@
     ) -> None:
         self.work = work
         self.attempt_id = attempt_id
-        self.link = link
+        self._link = link
+        self._held_bytes = 0
+
+    async def count_part(self, size: int) -> None:
+        """Count bytes that the request holds for its link."""
+        self._held_bytes += size
+        await self._link.add_work(size)
+
+    async def end(self) -> None:
+        """Count nothing any more."""
+        held_bytes, self._held_bytes = self._held_bytes, 0
+        await self._link.add_work(-held_bytes)
 
     async def send(self, *, is_last: bool) -> None:
         """Send the parts that were not reported yet."""
         if self.work.is_abandoned:
             return
         answer = self.work.take_unreported(self.attempt_id, is_last=is_last)
-        await self.link.post_if_open(wire_pb2.Envelope(parts_answer=answer))
+        await self._link.post_if_open(wire_pb2.Envelope(parts_answer=answer))
 
 
 _GOING_AWAY = wire_pb2.Envelope(going_away=wire_pb2.GoingAway())
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -28,7 +28,7 @@
     routes,
     webclient,
 )
-from cardamomflow.heldbytes import budget, guard
+from cardamomflow.heldbytes import budget
 from cardamomflow.platform import replyheaders, wire
 
 # A connection that was idle for longer may have become unresponsive without an
@@ -64,8 +64,8 @@
         Without the headers that this host sets.
     body : bytes
     request_id : bytes
-    holder : budget.Holder or None
-        Connection of the client that the answer is for.
+    part_counter : budget.PartCounter or None
+        Counts the parts of the answer that wait for others.
     """
 
     method: bytes
@@ -73,7 +73,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     request_id: bytes
-    holder: budget.Holder | None = None
+    part_counter: budget.PartCounter | None = None
 
 
 def create_request_event(message: Message) -> h11.Request:
@@ -127,8 +127,6 @@
         backend servers.
     body_budget : bodybudget.BodyBudget
         Limits the incomplete bodies of all connections.
-    client_guard : guard.Guard
-        Limits the parts of answers that requests of clients wait with.
     """
 
     def __init__(
@@ -138,10 +136,8 @@
         clock: Callable[[], float],
         may_keep: Callable[[str], bool],
         body_budget: bodybudget.BodyBudget[Any],
-        client_guard: guard.Guard,
     ) -> None:
         self.body_budget = body_budget
-        self._guard = client_guard
         self._may_keep = may_keep
         self._backends_by_id = backends_by_id
         self._listener = listener
@@ -237,9 +233,9 @@
         elif connection.usable_until > self._clock():
             idle = self._idle_by_id.setdefault(attempt.backend_id, [])
             idle.append(connection)
-        holder = subrequest.work.message.holder
-        if holder is not None and not subrequest.work.ended:
-            await self._guard.add_part(holder, len(reply.body))
+        counter = subrequest.work.message.part_counter
+        if counter is not None and not subrequest.work.ended:
+            await counter.count_part(len(reply.body))
         await self._listener.on_attempt_answered(attempt, reply)
 
     async def remove_connection(
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -145,7 +145,7 @@
         headers,
         request.body,
         request_id.encode('latin-1'),
-        request.holder,
+        request.part_counter,
     )
 
 
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -90,7 +90,7 @@
         """Remove a connection that has ended."""
 
 
-class Connection(budget.Holder):
+class Connection(budget.Holder, budget.PartCounter):
     """One caller's connection; serves its requests one after another.
 
     Attributes
@@ -168,6 +168,10 @@
         # Wakes the task that reads the request.
         await self._shut_down(socket.SHUT_RD)
 
+    async def count_part(self, size: int) -> None:
+        """Count a part of the answer to the request in progress."""
+        await self._guard.add_part(self, size)
+
     async def cancel_request(self) -> None:
         """Cancel the request in progress because its caller disconnected.
 
--- a/cardamomflow/webhandler.py
+++ b/cardamomflow/webhandler.py
@@ -23,8 +23,8 @@
     raw_headers : sequence of (bytes, bytes)
     is_first : bool
         Whether it is the first request on its connection.
-    holder : budget.Holder or None
-        Connection that holds what the request and its answer need.
+    part_counter : budget.PartCounter or None
+        Counts the parts of the answer that wait for others.
     """
 
     method: str
@@ -33,7 +33,7 @@
     body: bytes
     raw_headers: Sequence[tuple[bytes, bytes]] = ()
     is_first: bool = False
-    holder: budget.Holder | None = None
+    part_counter: budget.PartCounter | None = None
 
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object.
--- a/tests/test_suite.py
+++ b/tests/test_suite.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from tests import leftover_process
 from tools import knownred, suite, testunit
@@ -122,6 +123,27 @@
         self.assertEqual(len(units), 3)
         self.assertEqual(units[-1].name, 'tests.test_a')
 
+    def test_tests_of_memory_run_after_all_others(self):
+        """Guards against other load beside tests that need the machine."""
+        (alone,) = suite.MODULES_RUN_ALONE
+        units = [
+            suite.Unit(name, (f'{name}.ATest.test',))
+            for name in ('tests.test_a', alone, 'tests.test_b')
+        ]
+        ended = []
+
+        def run_unit(unit):
+            ended.append(unit.name)
+            return unit_result(dict.fromkeys(unit.tests, 0), [])
+
+        with (
+            mock.patch.object(suite, 'run_unit', run_unit),
+            contextlib.redirect_stdout(io.StringIO()),
+        ):
+            results = suite._run_all(units, 3)
+        self.assertEqual(len(results), 3)
+        self.assertEqual(ended[-1], alone)
+
     def test_unit_without_a_result_has_failed(self):
         """Guards against counting a process that ends early as passed."""
         missing_test = 'tests.test_does_not_exist.A.test_1'
