--- a/cardamomflow/heldbytes/budget.py
+++ b/cardamomflow/heldbytes/budget.py
@@ -51,12 +51,26 @@
     SLOW_REQUEST = 'slow_request'
 
 
+# Bytes of the parts of an answer that are counted together: a query has many
+# small parts.
+PART_STEP_BYTES = 4096
+
+
 class PartCounter(abc.ABC):
-    """Counts the parts of the answer to one request."""
+    """Counts the parts of the answer to one request.
+
+    Attributes
+    ----------
+    uncounted_bytes : int
+        Bytes to add for each part; call `count_parts` once they have
+        `PART_STEP_BYTES`.
+    """
+
+    uncounted_bytes = 0
 
     @abc.abstractmethod
-    async def count_part(self, size: int) -> None:
-        """Count the bytes of a part until the request has ended."""
+    async def count_parts(self) -> None:
+        """Count the uncounted bytes until the request has ended."""
 
 
 class Holder(abc.ABC):
--- a/cardamomflow/heldbytes/guard.py
+++ b/cardamomflow/heldbytes/guard.py
@@ -17,8 +17,6 @@
 LOG_INTERVAL_S = 1.0
 # Turns of the loop in which an evicted connection or request ends.
 SETTLE_TURNS = 8
-# Bytes of the parts of an answer that are counted together.
-GROW_STEP_BYTES = 4096
 
 
 _GAUGES_BY_KIND = {
@@ -99,11 +97,9 @@
         if evicted:
             await self._evict(evicted, budget.Cause.BYTES)
 
-    async def add_part(self, holder: budget.Holder, size: int) -> None:
-        """Count a part of the answer to the request of a connection."""
-        holder.uncounted_bytes += size
-        is_request = holder.kind is budget.Kind.REQUEST
-        if is_request and holder.uncounted_bytes >= GROW_STEP_BYTES:
+    async def count_parts(self, holder: budget.Holder) -> None:
+        """Count the uncounted parts of the request of a connection."""
+        if holder.kind is budget.Kind.REQUEST:
             evicted = self.budget.grow(holder)
             if evicted:
                 await self._evict(evicted, budget.Cause.BYTES)
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -441,7 +441,8 @@
         requests_by_attempt[request.attempt_id] = peer_request
         self._metrics.increment('host.taken_over')
         work.message = work.message._replace(part_counter=peer_request)
-        await peer_request.count_part(request.ByteSize() + REQUEST_BYTES)
+        peer_request.uncounted_bytes = request.ByteSize() + REQUEST_BYTES
+        await peer_request.count_parts()
         await curio.spawn(
             self._serve,
             peer_request,
@@ -487,8 +488,9 @@
         self._link = link
         self._held_bytes = 0
 
-    async def count_part(self, size: int) -> None:
-        """Count bytes that the request holds for its link."""
+    async def count_parts(self) -> None:
+        """Count the uncounted bytes of the request for its link."""
+        size, self.uncounted_bytes = self.uncounted_bytes, 0
         self._held_bytes += size
         await self._link.add_work(size)
 
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -235,7 +235,9 @@
             idle.append(connection)
         counter = subrequest.work.message.part_counter
         if counter is not None and not subrequest.work.ended:
-            await counter.count_part(len(reply.body))
+            counter.uncounted_bytes += len(reply.body)
+            if counter.uncounted_bytes >= budget.PART_STEP_BYTES:
+                await counter.count_parts()
         await self._listener.on_attempt_answered(attempt, reply)
 
     async def remove_connection(
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -168,9 +168,9 @@
         # Wakes the task that reads the request.
         await self._shut_down(socket.SHUT_RD)
 
-    async def count_part(self, size: int) -> None:
-        """Count a part of the answer to the request in progress."""
-        await self._guard.add_part(self, size)
+    async def count_parts(self) -> None:
+        """Count the uncounted parts of the answer in progress."""
+        await self._guard.count_parts(self)
 
     async def cancel_request(self) -> None:
         """Cancel the request in progress because its caller disconnected.
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -132,7 +132,8 @@
 
         async def scenario():
             for _ in range(20):
-                await self.guard.add_part(holder, BODY_BYTES)
+                holder.uncounted_bytes += BODY_BYTES
+                await self.guard.count_parts(holder)
 
         loops.run(scenario)
         self.assertEqual(holder.causes[0], budget.Cause.BYTES)
