--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -75,6 +75,9 @@
         self._changed_by_work[work] = changed
         try:
             await self._run_until_finished(work, changed)
+        except curio.CancelledError:
+            work.drop_bodies()
+            raise
         finally:
             self._changed_by_work.pop(work)
             ending = work.end()
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import curio
+from curio import io as curio_io
 
 from cardamomflow import (
     aggregator,
@@ -32,6 +33,7 @@
 from cardamomflow import settings as settings_module
 from cardamomflow.accounts import counters
 from cardamomflow.generated import wire_pb2
+from cardamomflow.heldbytes import guard, sizing
 from cardamomflow.platform import front
 
 DEFAULT_DRAIN_DELAY_S = 0.5
@@ -55,8 +57,15 @@
 class LinkServer:
     """Accepts links from peers and passes them to a handler."""
 
-    def __init__(self, address: str, port: int, handler: Any) -> None:
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        handler: Any,
+        client_guard: guard.Guard | None = None,
+    ) -> None:
         """Bind the listening socket, so that port 0 is resolved at once."""
+        self._guard = client_guard or guard.Guard(sizing.Limits())
         self._listener = webserver.listen(address, port)
         self.port: int = self._listener.getsockname()[1]
         self._handler = handler
@@ -75,13 +84,22 @@
                 if self.stopping:
                     await sock.close()
                     continue
-                links.set_no_delay(sock)
-                link = links.Link(sock, wire_pb2.Envelope, self._handler)
-                await curio.spawn(self._run, link, daemon=True)
+                await self._add_link(await self._guard.admit(sock))
+
+    async def _add_link(self, sock: curio_io.Socket | None) -> None:
+        if sock is None:
+            return
+        links.set_no_delay(sock)
+        link = links.Link(sock, wire_pb2.Envelope, self._handler, self._guard)
+        self._guard.budget.open(link)
+        await curio.spawn(self._run, link, daemon=True)
 
     async def _run(self, link: links.Link[wire_pb2.Envelope]) -> None:
-        await self._handler.on_opened(link)
-        await link.run()
+        try:
+            await self._handler.on_opened(link)
+            await link.run()
+        finally:
+            self._guard.close(link)
 
 
 async def run_entry(process_context: context.Context) -> exitstatus.ExitStatus:
@@ -89,7 +107,12 @@
     settings = process_context.settings
     program = entry.Entry(process_context)
     listen = settings['listen']
-    server = webserver.WebServer(listen['address'], listen['port'], program)
+    server = webserver.WebServer(
+        listen['address'],
+        listen['port'],
+        program,
+        client_guard=process_context.client_guard,
+    )
     view = localview.LocalViewClient(
         settings, 'entry', (listen['address'], server.port), program
     )
@@ -130,7 +153,12 @@
     dispatcher.may_send = runner.may_send
     dispatcher.groups_by_service = program.groups_by_service
     listen = process_context.settings['listen']
-    server = LinkServer(listen['address'], listen['port'], program)
+    server = LinkServer(
+        listen['address'],
+        listen['port'],
+        program,
+        process_context.client_guard,
+    )
     view = localview.LocalViewClient(
         process_context.settings,
         'aggregator',
@@ -200,10 +228,12 @@
     server = webserver.WebServer(
         *authorities.split(settings['callers']),
         front.CallerHandler(program, _create_counters(process_context)),
+        client_guard=process_context.client_guard,
     )
     readiness = webserver.WebServer(
         *authorities.split(settings['readiness']),
         front.ReadinessHandler(program),
+        client_guard=process_context.client_guard,
     )
     program.zones.on_cut_off_change = server.set_close_after_response
     program.on_bounds_changed = functools.partial(setattr, server, 'bounds')
@@ -215,7 +245,9 @@
     peer_listener = None
     if 'peers' in settings:
         peer_listener = LinkServer(
-            *authorities.split(settings['peers']), peer_server
+            *authorities.split(settings['peers']),
+            peer_server,
+            process_context.client_guard,
         )
     return HostComponents(
         program,
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -89,6 +89,12 @@
     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
+class RequestFragmented(BadRequest):
+    """The pieces of the request cost far more than they carry."""
+
+    code = 'request_fragmented'
+
+
 class MethodNotAllowed(BadRequest):
     """The path does not support this method."""
 
@@ -121,6 +127,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class MemoryShort(Overloaded):
+    """The process holds too many bytes of unfinished requests."""
+
+    code = 'memory_short'
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class DeadlineUnreachable(Overloaded):
     """The request can't finish before its deadline."""
 
--- /dev/null
+++ b/cardamomflow/heldbytes/guard.py
@@ -0,0 +1,188 @@
+"""Applies the limits on clients in one process; owns its budget.
+
+Evicts the connections that `budget` chooses. Each decision is counted in the
+metrics and logged, at most one line a second for each cause.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import curio
+from curio import io as curio_io
+
+from cardamomflow import events
+from cardamomflow.heldbytes import budget, sizing
+
+LOG_INTERVAL_S = 1.0
+# Turns of the loop in which an evicted connection or request ends.
+SETTLE_TURNS = 8
+
+
+_GAUGES_BY_KIND = {
+    budget.Kind.HEAD: 'clients.held_head',
+    budget.Kind.BODY: 'clients.held_body',
+    budget.Kind.REQUEST: 'clients.held_request',
+    budget.Kind.ANSWER: 'clients.held_answer',
+    budget.Kind.FRAME: 'clients.held_frame',
+}
+_MS = 1000
+
+
+class Guard:
+    """Limits on the clients of one process.
+
+    Parameters
+    ----------
+    limits : sizing.Limits
+    journal : logbook.Logger, optional
+    metrics : telemetry.Metrics, optional
+    clock : callable
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    limits : sizing.Limits
+    budget : budget.Budget
+    lane : curio.Lock
+        See `turns`.
+    """
+
+    def __init__(
+        self,
+        limits: sizing.Limits,
+        journal: Any = None,
+        metrics: Any = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.limits = limits
+        self.budget = budget.Budget(limits, clock)
+        self.lane = curio.Lock()
+        self.clock = clock
+        self._journal = journal
+        self._metrics = metrics
+        # Evicted connections whose requests have not ended yet.
+        self._ending: set[budget.Holder] = set()
+        self._log_after_by_cause: dict[budget.Cause, float] = {}
+        self._unlogged_by_cause = dict.fromkeys(budget.Cause, 0)
+        if metrics is not None:
+            self._register_gauges(metrics)
+
+    def close(self, holder: budget.Holder) -> None:
+        """Remove a connection that has ended."""
+        self.budget.close(holder)
+        self._ending.discard(holder)
+
+    async def settle(self) -> None:
+        """Let evicted requests end before more bytes are received.
+
+        They end in the next turns of the loop. Without this, all connections
+        that have input now would receive it first.
+        """
+        for _ in range(SETTLE_TURNS):
+            if not self._ending:
+                return
+            self._ending = {
+                holder
+                for holder in self._ending
+                if holder.kind is budget.Kind.REQUEST
+            }
+            await curio.sleep(0)
+
+    async def hold(
+        self, holder: budget.Holder, kind: budget.Kind, size: int
+    ) -> None:
+        """Set what a connection holds; evicts connections over the limit."""
+        evicted = self.budget.hold(holder, kind, size)
+        if evicted:
+            await self._evict(evicted, budget.Cause.BYTES)
+
+    async def count_parts(self, holder: budget.Holder) -> None:
+        """Count the uncounted parts of the request of a connection."""
+        if holder.kind is budget.Kind.REQUEST:
+            evicted = self.budget.grow(holder)
+            if evicted:
+                await self._evict(evicted, budget.Cause.BYTES)
+
+    async def admit(self, sock: curio_io.Socket) -> curio_io.Socket | None:
+        """Make room for an accepted connection.
+
+        Closes the least deserving connections if too many are open. The
+        descriptor of a new socket is the lowest free number, so at least as
+        many are open.
+
+        Returns
+        -------
+        curio.io.Socket or None
+            The socket to use; None if the connection was closed, because
+            requests of all others are being answered.
+        """
+        if sock.fileno() >= self.limits.descriptors:
+            cause = budget.Cause.DESCRIPTORS
+        elif self.budget.connection_count >= self.limits.connections:
+            cause = budget.Cause.CONNECTIONS
+        else:
+            return sock
+        is_admitted = await self.shrink(cause)
+        # A copy gets one of the numbers that are free now. Otherwise, each
+        # time these are used up, one more number over the limit would be.
+        copy = sock._socket.dup() if is_admitted else None  # noqa: SLF001
+        await sock.close()
+        return None if copy is None else curio_io.Socket(copy)
+
+    async def shrink(self, cause: budget.Cause) -> bool:
+        """Close the least deserving connections; return whether any is."""
+        surplus = self.budget.choose_surplus()
+        expected_count = self.budget.connection_count - len(surplus)
+        await self._evict(surplus, cause)
+        # The tasks of the closed connections run now and close the
+        # descriptors.
+        for _ in range(SETTLE_TURNS):
+            if self.budget.connection_count <= expected_count:
+                break
+            await curio.sleep(0)
+        return bool(surplus)
+
+    def record(self, holder: budget.Holder, cause: budget.Cause) -> None:
+        """Count and log a connection that is refused or closed."""
+        if self._metrics is not None:
+            self._metrics.increment(f'clients.evicted.{cause}')
+        now = self.clock()
+        if now < self._log_after_by_cause.get(cause, now):
+            self._unlogged_by_cause[cause] += 1
+            return
+        self._log_after_by_cause[cause] = now + LOG_INTERVAL_S
+        left_out, self._unlogged_by_cause[cause] = (
+            self._unlogged_by_cause[cause],
+            0,
+        )
+        if self._journal is not None:
+            self._journal.warning(
+                events.Event.CLIENT_EVICTED,
+                cause=cause,
+                sender=holder.sender,
+                doing=holder.kind,
+                waited_ms=round(holder.waited_s(now) * _MS),
+                held_bytes=self.budget.held_bytes,
+                connections=self.budget.connection_count,
+                left_out=left_out,
+            )
+
+    async def _evict(
+        self, holders: Iterable[budget.Holder], cause: budget.Cause
+    ) -> None:
+        for holder in holders:
+            self.record(holder, cause)
+            if holder.kind is budget.Kind.REQUEST:
+                self._ending.add(holder)
+            await holder.evict(cause)
+
+    def _register_gauges(self, metrics: Any) -> None:
+        for kind, name in _GAUGES_BY_KIND.items():
+            metrics.register_gauge(name, self._reader(kind))
+        metrics.register_gauge(
+            'clients.connections', lambda: self.budget.connection_count
+        )
+
+    def _reader(self, kind: budget.Kind) -> Callable[[], float]:
+        return lambda: self.budget.bytes_by_kind[kind]
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -321,6 +321,7 @@
                 work.account.name, work.account
             )
         ending = await self.active_requests.run_parts(work, report)
+        work.drop_bodies()
         self._log_request(work, ending, asked_by=asked_by)
 
     def _sending_s(self, route: routes.Route) -> float:
@@ -451,6 +452,8 @@
         if subrequest.failure_reason is not None
     }
     reason = ', '.join(sorted(reasons)) or 'no answer in time'
+    if ending is not requeststate.Ending.ANSWERED:
+        work.drop_bodies()
     match ending:
         case requeststate.Ending.NOT_RUN:
             is_late = reasons == {errors.DeadlineUnreachable.code}
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -25,6 +25,7 @@
     routing,
 )
 from cardamomflow.generated import wire_pb2
+from cardamomflow.heldbytes import budget
 from cardamomflow.platform import backendlink
 
 # Time for which a host stays an owner after its entry is missing. It is longer
@@ -37,6 +38,8 @@
 ]
 _NO_PLACEMENT = ownership.Placement(0, {})
 _CLOSE_POLL_S = 0.02
+# Memory of a request for parts besides its message.
+REQUEST_BYTES = 4096
 
 
 class HandoverListener(abc.ABC):
@@ -437,6 +440,9 @@
         requests_by_attempt = self._requests_by_link[link]
         requests_by_attempt[request.attempt_id] = peer_request
         self._metrics.increment('host.taken_over')
+        work.message = work.message._replace(part_counter=peer_request)
+        peer_request.uncounted_bytes = request.ByteSize() + REQUEST_BYTES
+        await peer_request.count_parts()
         await curio.spawn(
             self._serve,
             peer_request,
@@ -457,6 +463,7 @@
             )
         finally:
             requests_by_attempt.pop(peer_request.attempt_id, None)
+            await peer_request.end()
 
     async def _end_parts(
         self, link: linkkeepalive.WireLink, message: wire_pb2.PartsEnd
@@ -467,7 +474,7 @@
             await self._server.wake(peer_request.work)
 
 
-class _PeerRequest(PartsReporter):
+class _PeerRequest(PartsReporter, budget.PartCounter):
     """A request for parts of another host."""
 
     def __init__(
@@ -479,6 +486,18 @@
         self.work = work
         self.attempt_id = attempt_id
         self._link = link
+        self._held_bytes = 0
+
+    async def count_parts(self) -> None:
+        """Count the uncounted bytes of the request for its link."""
+        size, self.uncounted_bytes = self.uncounted_bytes, 0
+        self._held_bytes += size
+        await self._link.add_work(size)
+
+    async def end(self) -> None:
+        """Count nothing any more."""
+        held_bytes, self._held_bytes = self._held_bytes, 0
+        await self._link.add_work(-held_bytes)
 
     async def send(self, *, is_last: bool) -> None:
         """Send the parts that were not reported yet."""
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -9,22 +9,39 @@
 import http
 import json
 import socket
-from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import curio
 import h11
 from curio import io as curio_io
 
-from cardamomflow import errors, links, requesthead, webhandler
+from cardamomflow import (
+    errors,
+    links,
+    requesthead,
+    requestreading,
+    webhandler,
+)
+from cardamomflow.heldbytes import budget, guard
 
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 262_144
 HEAD_TIMEOUT_S = 5.0
 BODY_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
+# Time within which a caller must read some of a response.
 SEND_TIMEOUT_S = 10.0
+# A response of this size fits in the send buffer of a socket, so that sending
+# it rarely waits. Larger ones count as held until they are sent.
+SMALL_RESPONSE_BYTES = 16_384
+# Time after which a caller may repeat a request that was refused for the bytes
+# it holds.
+MEMORY_RETRY_AFTER_S = 1.0
+# Smaller bodies are part of the memory that `sizing` assumes for a connection.
+SMALL_BODY_BYTES = 2048
 _RECEIVE_BYTES = 65_536
+# Time for an evicted caller to read its refusal before the close.
+_EVICTED_LINGER_S = 0.1
 _BODILESS = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 
@@ -58,6 +75,11 @@
 
     bounds: Bounds = Bounds()
 
+    @property
+    @abc.abstractmethod
+    def client_guard(self) -> guard.Guard:
+        """Limits that the connections of the process share."""
+
     @property
     @abc.abstractmethod
     def closes_after_response(self) -> bool:
@@ -68,7 +90,7 @@
         """Remove a connection that has ended."""
 
 
-class Connection:
+class Connection(budget.Holder, budget.PartCounter):
     """One caller's connection; serves its requests one after another.
 
     Attributes
@@ -88,19 +110,21 @@
         server: Server,
     ) -> None:
         """Create the connection of an accepted socket, which it closes."""
+        self._guard = server.client_guard
+        super().__init__(links.peer_address(sock), self._guard.clock())
         self.busy = False
         self.handling = False
         self.task: curio.Task | None = None
         self._sock = sock
         self._handler = handler
         self._server = server
-        self._input_ended = False
         self._is_first = True
-        # Whether an interim response may have been sent in part.
-        self._is_output_cut = False
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.bounds.head_bytes
         )
+        self._reader = requestreading.RequestReader(
+            sock, self._protocol, self, self._guard, lambda: server.bounds
+        )
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -109,16 +133,44 @@
                 await self._serve()
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             return
+        except curio.CancelledError as cancelled:
+            # The task keeps the exception; its frames would keep the request.
+            raise cancelled.with_traceback(None) from None
         finally:
             self.busy = False
+            self._guard.close(self)
             self._server.discard(self)
 
     async def close(self) -> None:
         """Shut the connection down, even during a request."""
-        try:
-            await self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
+        await self._shut_down(socket.SHUT_RDWR)
+
+    async def evict(self, cause: budget.Cause) -> None:
+        """Refuse the request that is being read, or close the connection.
+
+        A request in progress is cancelled as if its caller had disconnected,
+        without a response that would promise anything.
+        """
+        del cause
+        if self.handling:
+            await self.cancel_request()
             return
+        is_sending = self.kind in {budget.Kind.IDLE, budget.Kind.ANSWER}
+        if is_sending or self._reader.is_refused:
+            await self.close()
+            return
+        self._reader.refuse(
+            errors.MemoryShort(
+                'the process holds too many unfinished requests',
+                retry_after_s=MEMORY_RETRY_AFTER_S,
+            )
+        )
+        # Wakes the task that reads the request.
+        await self._shut_down(socket.SHUT_RD)
+
+    async def count_parts(self) -> None:
+        """Count the uncounted parts of the answer in progress."""
+        await self._guard.count_parts(self)
 
     async def cancel_request(self) -> None:
         """Cancel the request in progress because its caller disconnected.
@@ -143,7 +195,9 @@
         try:
             return await self._handler.handle(request)
         except errors.FlowError as error:
-            failure = error
+            # With its traceback, the error and this frame would keep each
+            # other, and the request, until the next garbage collection.
+            failure = error.with_traceback(None)
         except Exception as error:  # fails only this request
             failure = errors.FlowError(f'internal error: {error!r}')
         self._handler.record_failure(failure)
@@ -154,6 +208,9 @@
     ) -> None:
         """Send a serialized response."""
         del response
+        if len(payload) > SMALL_RESPONSE_BYTES:
+            await self._transmit_large(payload)
+            return
         await curio.timeout_after(SEND_TIMEOUT_S, self._sock.sendall, payload)
 
     async def _serve(self) -> None:
@@ -166,38 +223,67 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection stays open."""
-        try:
-            request = await self._read_request()
-        except errors.FlowError as error:
-            self._handler.record_failure(error)
-            if self._is_output_cut:
-                return False
-            await self._send(webhandler.error_response(error), last=True)
-            await self._discard_input()
-            return False
+        request = await self._read_or_refuse()
         if request is None:
             return False
         self.handling = True
         response = await self.process(request)
         self.handling = False
-        await self._send(
+        payload = self._build_payload(
             response,
             last=self._server.closes_after_response,
             has_body=request.method != 'HEAD',
         )
+        # The payload has a copy of the body. The bodies of the request and of
+        # the response would stay until the caller has read everything.
+        request = None
+        if response.body and len(response.body) > SMALL_RESPONSE_BYTES:
+            response = response._replace(body=b'')
+        await self.transmit(payload, response)
+        self._set_state(budget.Kind.IDLE)
         self.busy = False
         if self._protocol.our_state is h11.DONE:
             return True
         await self._discard_input()
         return False
 
+    async def _read_or_refuse(self) -> webhandler.Request | None:
+        """Return the next request, or None if the connection ends."""
+        try:
+            return await self._read_request()
+        except errors.FlowError as error:
+            # The frames of the traceback have the body, which would stay
+            # until the refusal is sent.
+            failure = error.with_traceback(None)
+        await self._refuse(failure)
+        return None
+
+    async def _refuse(self, failure: errors.FlowError) -> None:
+        """Refuse a request that can't be read, and end the connection."""
+        if isinstance(failure, errors.RequestTimeout):
+            self._guard.record(self, budget.Cause.SLOW_REQUEST)
+        self._handler.record_failure(failure)
+        self._set_state(budget.Kind.IDLE)
+        if not self._reader.is_output_cut:
+            response = webhandler.error_response(failure)
+            await self.transmit(
+                self._build_payload(response, last=True), response
+            )
+            await self._discard_input()
+
     async def _read_request(self) -> webhandler.Request | None:
-        head = await self._read_head()
+        if not await self._reader.wait_for_input():
+            return None
+        self.busy = True
+        self.kind = budget.Kind.HEAD
+        head = await self._reader.read_head()
         if head is None:
             return None
-        body = await _read_within(
-            self._server.bounds.body_timeout_s, 'body', self._read_body
-        )
+        body = await self._reader.read_body()
+        self._set_state(budget.Kind.REQUEST)
+        if len(body) > SMALL_BODY_BYTES:
+            await self._guard.hold(self, budget.Kind.REQUEST, len(body))
+            self._reader.check_refused()
         target = requesthead.parse_target(head.target.decode('latin-1'))
         raw_headers = head.headers
         if target.host is not None:
@@ -213,100 +299,24 @@
             body,
             raw_headers,
             self._is_first,
+            self,
         )
 
-    async def _read_head(self) -> h11.Request | None:
-        try:
-            has_input = await curio.timeout_after(
-                self._server.bounds.idle_timeout_s, self._wait_for_input
-            )
-        except curio.TaskTimeout:
-            return None
-        if not has_input:
-            return None
-        self.busy = True
-        bounds = self._server.bounds
-        event = await _read_within(
-            bounds.head_timeout_s, 'head', self._next_head
-        )
-        if not isinstance(event, h11.Request):
-            return None
-        requesthead.check(event, bounds.head_bytes, bounds.body_bytes)
-        return event
-
-    async def _wait_for_input(self) -> bool:
-        """Wait for the first bytes of a request; return whether they came.
-
-        The head timeout does not apply yet.
-        """
-        if self._protocol.trailing_data[0]:
-            return True
-        return not self._input_ended and bool(await self._receive())
-
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if not isinstance(event, h11.Data):
-                raise errors.BadRequest(
-                    'the connection ended before the body was complete'
-                )
-            body += event.data
-            requesthead.check_body_size(
-                len(body), self._server.bounds.body_bytes
-            )
+    def _set_state(self, kind: budget.Kind) -> None:
+        """Record that the connection has progressed to another state."""
+        self.progressed_at = self._guard.clock()
+        if self.held_bytes or self.uncounted_bytes:
+            self.uncounted_bytes = 0
+            self._guard.budget.hold(self, kind, 0)
+        self.kind = kind
 
-    async def _next_head(self) -> Any:
-        return await self._next_event(in_head=True)
-
-    async def _next_event(self, *, in_head: bool = False) -> Any:
-        while True:
-            if in_head:
-                requesthead.check_lines(self._protocol.trailing_data[0])
-            event = self._parse()
-            if event is not h11.NEED_DATA:
-                return event
-            if self._protocol.they_are_waiting_for_100_continue:
-                await self._send_continue()
-            if self._input_ended or not await self._receive():
-                raise errors.BadRequest(
-                    'the connection ended before the request was complete'
-                )
-
-    async def _send_continue(self) -> None:
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        self._is_output_cut = True
-        await self._sock.sendall(self._protocol.send(interim))
-        self._is_output_cut = False
-
-    def _parse(self) -> Any:
-        try:
-            return self._protocol.next_event()
-        except h11.RemoteProtocolError as error:
-            large = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            if error.error_status_hint == large:
-                raise errors.HeadTooLarge(
-                    f'the head exceeds {self._server.bounds.head_bytes} bytes'
-                ) from error
-            # The text after the colon quotes the input, which may be a key.
-            reason = str(error).partition(':')[0]
-            raise errors.BadRequest(f'malformed HTTP: {reason}') from error
-
-    async def _receive(self) -> bytes:
-        received = await self._sock.recv(_RECEIVE_BYTES)
-        self._input_ended = not received
-        self._protocol.receive_data(received)
-        return received
-
-    async def _send(
+    def _build_payload(
         self,
         response: webhandler.Response,
         *,
         last: bool,
         has_body: bool = True,
-    ) -> None:
+    ) -> bytes:
         status, body, headers = self._serialize(response)
         if last:
             headers.append(('connection', 'close'))
@@ -318,8 +328,36 @@
         if has_body and body:
             blocks.append(self._protocol.send(h11.Data(data=body)))
         blocks.append(self._protocol.send(h11.EndOfMessage()))
-        payload = b''.join(block for block in blocks if block)
-        await self.transmit(payload, response)
+        return b''.join(block for block in blocks if block)
+
+    async def _transmit_large(self, payload: bytes) -> None:
+        """Send a response that may wait for its reader."""
+        self._set_state(budget.Kind.ANSWER)
+        await self._guard.hold(self, budget.Kind.ANSWER, len(payload))
+        started_at = self._guard.clock()
+        sent_bytes = 0
+        while sent_bytes < len(payload):
+            rate = self._guard.limits.min_read_bytes_per_s
+            allowed_s = SEND_TIMEOUT_S + sent_bytes / rate
+            try:
+                sent_bytes += await curio.timeout_after(
+                    min(
+                        SEND_TIMEOUT_S,
+                        started_at + allowed_s - self.progressed_at,
+                    ),
+                    self._sock.send,
+                    memoryview(payload)[sent_bytes:],
+                )
+            except curio.TaskTimeout:
+                self._guard.record(self, budget.Cause.SLOW_READER)
+                raise
+            self.progressed_at = self._guard.clock()
+
+    async def _shut_down(self, direction: int) -> None:
+        try:
+            await self._sock.shutdown(direction)
+        except OSError:
+            return
 
     def _serialize(
         self, response: webhandler.Response
@@ -359,19 +397,11 @@
         """
         linger_s = 0.5
         await self._sock.shutdown(socket.SHUT_WR)
+        if self._reader.is_refused:
+            # `evict` has shut down the input, whose end can't be seen.
+            await curio.sleep(_EVICTED_LINGER_S)
+            linger_s = 0
         async with curio.ignore_after(linger_s):
             received = b'unread'
             while received:
                 received = await self._sock.recv(_RECEIVE_BYTES)
-
-
-async def _read_within(
-    limit_s: float, part: str, read: Callable[[], Awaitable[Any]]
-) -> Any:
-    """Return a part of a request; raise `RequestTimeout` after the limit."""
-    try:
-        return await curio.timeout_after(limit_s, read)
-    except curio.TaskTimeout:
-        raise errors.RequestTimeout(
-            f'the {part} did not arrive within {limit_s:g} s'
-        ) from None
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -311,7 +311,7 @@
         work = requeststate.Work(
             test_dispatching.make_payment(),
             ('a',),
-            None,
+            backendlink.Message(b'POST', b'/x', [], b'', b'r1'),
             now,
             requeststate.TimeBudget(1),
             table.Account(name),
