Add token escrow for the limits of client accounts

Cause: a limit has to hold over all hosts without a call to the store for each request, also while hosts, zones and the store are out of contact.

--- a/cardamomflow/aggregatorlinks.py
+++ b/cardamomflow/aggregatorlinks.py
@@ -31,6 +31,7 @@
 
 WireLink = linkkeepalive.WireLink
 UpdateHandler = Callable[[str, wire_pb2.FeedUpdate], Awaitable[None]]
+GrantHandler = Callable[[str, wire_pb2.TokenGrant], Awaitable[None]]
 
 
 class AnswerHandler(abc.ABC):
@@ -142,6 +143,8 @@
         self._on_holdings = on_holdings
         # Called with the id of the relay and its update of the change feed.
         self.on_update: UpdateHandler = _ignore_update
+        # Called with the id of a host and its answer to a token request.
+        self.on_grant: GrantHandler = _ignore_grant
         self._peers_by_id: dict[str, _Peer] = {}
         self._peers_by_link: dict[WireLink, _Peer] = {}
         # Aggregator ids of each zone, in failover order.
@@ -289,6 +292,22 @@
         await link.monitor_peer()
         return link, position
 
+    async def post(
+        self, aggregator_id: str, envelope: wire_pb2.Envelope
+    ) -> None:
+        """Send a message without a handler for its answer.
+
+        Raises
+        ------
+        errors.ConnectFailed
+            Nothing was sent.
+        """
+        link = self.link_to(aggregator_id)
+        if link is None:
+            raise errors.ConnectFailed(f'no link to {aggregator_id}')
+        self._peers_by_id[aggregator_id].used_at = self._clock()
+        await link.post(envelope)
+
     def remove_handler(self, link: WireLink, attempt_id: int) -> None:
         """Unregister the handler of an attempt; its answer is ignored."""
         self._handlers_by_link.get(link, {}).pop(attempt_id, None)
@@ -318,6 +337,10 @@
                 await self.on_update(
                     peer.aggregator.aggregator_id, message.feed_update
                 )
+            case 'token_grant':
+                await self.on_grant(
+                    peer.aggregator.aggregator_id, message.token_grant
+                )
             case 'ping':
                 await self.on_ping(link, message.ping)
             case 'pong':
@@ -440,3 +463,8 @@
 async def _ignore_update(host_id: str, update: wire_pb2.FeedUpdate) -> None:
     """Ignore an update, as nothing is subscribed to the feed."""
     del host_id, update
+
+
+async def _ignore_grant(host_id: str, grant: wire_pb2.TokenGrant) -> None:
+    """Ignore a grant, as nothing was requested."""
+    del host_id, grant
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -210,6 +210,7 @@
         store, program.directory, program, feed_links, process_context
     )
     peer_server = peering.PeerServer(process_context, program, feed_links)
+    peer_server.token_server = program.quotas
     peer_listener = None
     if 'peers' in settings:
         peer_listener = LinkServer(
@@ -224,6 +225,8 @@
             program.zones.run,
             program.peer_client.links.run,
             feed_links.run,
+            program.quotas.run,
+            program.quotas.run_links,
             *(() if peer_listener is None else (peer_listener.serve,)),
             follower.follow,
             follower.expire_backends,
@@ -305,6 +308,7 @@
         await components.peer_server.wait_idle()
     async with curio.ignore_after(LINK_CLOSE_TIMEOUT_S):
         await components.host.peer_client.links.stop()
+        await components.host.quotas.stop()
         if components.peer_listener is not None:
             # Other hosts dial again as soon as their link is closed.
             components.peer_listener.stopping = True
--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -113,6 +113,19 @@
     outcome = Outcome.NOT_RUN
 
 
+class QuotaExceeded(Overloaded):
+    """The client account has used up its limit."""
+
+    code = 'quota_exceeded'
+
+
+class QuotaUnknown(Overloaded):
+    """No holder of the account's tokens can be reached."""
+
+    code = 'quota_unknown'
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class DeadlineUnreachable(Overloaded):
     """The request can't finish before its deadline."""
 
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -42,6 +42,7 @@
     ZONE_ANSWERS = 'zone answers'
     CUT_OFF = 'cut off'
     CONNECTED_AGAIN = 'connected again'
+    TOKEN_HOLDER = 'token holder'
 
     # Requests.
     REQUEST_ENDED = 'request ended'
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -32,7 +32,9 @@
     servicezones,
     zonewatch,
 )
+from cardamomflow.accounts import table as accounts_table
 from cardamomflow.platform import front
+from cardamomflow.quotas import service as quota_service
 
 # Number of hosts that is assumed before the first count: a small fleet.
 INITIAL_HOST_COUNT = 8
@@ -82,6 +84,7 @@
         )
         self.transport = self.active_requests.transport
         self.peer_client = self.active_requests.peer_client
+        self.quotas = quota_service.Quotas(process_context, self.peer_client)
         self._dispatcher = self.active_requests.dispatcher
         self.zones = zonewatch.ZoneWatch(
             process_context, self.directory, self._dispatcher, self.transport
@@ -106,6 +109,7 @@
         self.grace_period.retain(table.names)
         self._dispatcher.apply(table)
         self.zones.apply(table)
+        await self.quotas.apply(table.accounts)
         self.on_bounds_changed(
             serverconnection.Bounds(
                 head_bytes=table.limits.head_bytes,
@@ -128,6 +132,7 @@
     def on_platform_confirmed(self, confirmed_at: float) -> None:
         """Record when the platform confirmed the data of this host."""
         self.platform_confirmed_at = confirmed_at
+        self.quotas.on_confirmed(confirmed_at)
 
     async def on_hosts_counted(self, hosts: int) -> None:
         """Update the number of hosts that share connections and budgets.
@@ -152,6 +157,7 @@
     ) -> None:
         """Update the hosts that parts of queries can be handed over to."""
         members = list(members)
+        await self.quotas.on_members(members)
         capacity = ownership.usual_capacity(
             [self.peer_client.owners.own, *members]
         )
@@ -224,12 +230,20 @@
         route: routes.Route,
         message: Any,
         time_budget: requeststate.TimeBudget,
+        account: accounts_table.Account | None = None,
     ) -> requeststate.Work:
         """Run a request and return it with its answer."""
         now = self._clock()
         try:
             time_budget = self.grace_period.limit(route, time_budget, now)
-        except errors.Stopping as error:
+            permit = await self.quotas.admit(
+                account, now + min(time_budget.remaining_s, route.timeout_s)
+            )
+        except (
+            errors.Stopping,
+            errors.QuotaExceeded,
+            errors.QuotaUnknown,
+        ) as error:
             self.request_log.log_refusal(
                 message.request_id.decode('latin-1'),
                 error,
@@ -245,6 +259,8 @@
             time_budget._replace(sending_s=self._sending_s(route)),
         )
         ending = await self.active_requests.run(work)
+        if permit is not None and ending is requeststate.Ending.NOT_RUN:
+            self.quotas.give_back(account, permit)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
         duration_s = self._clock() - work.started_at
         self._metrics.observe('host.latency', route.rank.label, duration_s)
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -95,6 +95,42 @@
         'reason',
         'Messages to other hosts whose parts this host asked for after all.',
     ),
+    MetricDefinition(
+        'host.tokens_used',
+        'host_used_tokens',
+        '',
+        'Requests admitted within the limit of their account.',
+    ),
+    MetricDefinition(
+        'host.tokens_returned',
+        'host_returned_tokens',
+        '',
+        'Tokens of requests that were refused as not run.',
+    ),
+    MetricDefinition(
+        'host.tokens_refused',
+        'host_refused_tokens',
+        'cause',
+        'Requests without a token: limit used up, or no holder reached.',
+    ),
+    MetricDefinition(
+        'host.tokens_borrowed',
+        'host_borrowed_tokens',
+        '',
+        'Tokens that other hosts lent to this one.',
+    ),
+    MetricDefinition(
+        'host.tokens_lent',
+        'host_lent_tokens',
+        '',
+        'Tokens that this host lent to others.',
+    ),
+    MetricDefinition(
+        'host.tokens_unanswered',
+        'host_unanswered_token_requests',
+        '',
+        'Requests for tokens that got no answer in time.',
+    ),
     MetricDefinition(
         'log.lost', 'lost_log_lines', '', 'Log lines without reader.'
     ),
@@ -378,6 +414,12 @@
         '',
         'Backend servers that are listed or kept after a lapse.',
     ),
+    MetricDefinition(
+        'host.token_roles',
+        'host_token_roles',
+        '',
+        'Accounts whose tokens this host issues for its zone.',
+    ),
     MetricDefinition(
         'host.open_requests', 'host_open_requests', '', 'Requests in progress.'
     ),
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -348,6 +348,16 @@
         """Remove the subscription of a host whose link closed."""
 
 
+class TokenServer(abc.ABC):
+    """Lends tokens of client accounts to other hosts."""
+
+    @abc.abstractmethod
+    async def on_token_request(
+        self, link: linkkeepalive.WireLink, request: wire_pb2.TokenRequest
+    ) -> None:
+        """Answer a request for tokens, or for the view of the zone."""
+
+
 class PeerServer(linkkeepalive.KeepaliveHandler):
     """Serves the requests of other hosts."""
 
@@ -362,6 +372,8 @@
         self._closing = False
         self._server = server
         self._feed = feed
+        # Set by the composition root; None ignores requests for tokens.
+        self.token_server: TokenServer | None = None
         self._clock = process_context.clock
         self._metrics = process_context.metrics
         self._requests_by_link: dict[
@@ -416,6 +428,10 @@
                 await self._end_parts(link, message.parts_end)
             case 'feed_request':
                 await self._feed.on_feed_request(link, message.feed_request)
+            case 'token_request' if self.token_server is not None:
+                await self.token_server.on_token_request(
+                    link, message.token_request
+                )
             case 'ping':
                 await self.on_ping(link, message.ping)
             case 'pong':
