--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -259,7 +259,7 @@
             time_budget._replace(sending_s=self._sending_s(route)),
         )
         ending = await self.active_requests.run(work)
-        if permit is not None and ending is requeststate.Ending.NOT_RUN:
+        if ending is requeststate.Ending.NOT_RUN:
             self.quotas.give_back(account, permit)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
         duration_s = self._clock() - work.started_at
--- a/cardamomflow/quotas/allocation.py
+++ b/cardamomflow/quotas/allocation.py
@@ -208,7 +208,8 @@
         """
         if self._bucket is None:
             return NOT_HOLDER
-        valid_s = self.limit.loan_s
+        loan_s = self._bucket.loan_s(wanted)
+        valid_s = loan_s
         borrowed = 0
         if is_foreign:
             reserved = self._zone_demand.per_s(now) * self._ahead_s
@@ -219,7 +220,7 @@
                 wanted, now, self._min_lent_s
             )
             valid_s = min(valid_s, borrowed_s)
-        tokens = borrowed + self._bucket.lend(wanted - borrowed, now)
+        tokens = borrowed + self._bucket.lend(wanted - borrowed, loan_s, now)
         if tokens:
             return Grant(tokens, valid_s, 0, is_holder=True)
         spacing_s = self._askers.refuse((self.account.name, asker), now)
--- a/cardamomflow/quotas/borrowing.py
+++ b/cardamomflow/quotas/borrowing.py
@@ -20,9 +20,10 @@
 AHEAD_LOAN_SHARE = 0.5
 # Share of the tokens for that time at which a host borrows the next ones.
 LOW_SHARE = 0.3
-# Requests expected in that time from which a host borrows before it is out of
-# tokens. With fewer, most of the tokens would expire.
-MIN_AHEAD_TOKENS = 2.0
+# Requests expected in that time from which a host borrows more than the token
+# that it needs. With 2, 3 in 100 requests of an account at 90 % of its limit
+# were refused since tokens expired at 60 hosts; with 4, it was 1 in 100.
+MIN_AHEAD_TOKENS = 4.0
 _MAX_TOKENS = 1_000_000
 
 
@@ -135,8 +136,11 @@
 
     def wanted(self, loan_s: float, now: float) -> int:
         """Return how many tokens to borrow now, at least one."""
-        missing = self._ahead(loan_s, now) - self.tokens(now)
-        return max(1, min(_MAX_TOKENS, math.ceil(missing)))
+        ahead = self._ahead(loan_s, now)
+        if ahead < MIN_AHEAD_TOKENS:
+            return 1
+        missing = ahead - self.tokens(now)
+        return max(1, min(_MAX_TOKENS, math.floor(missing)))
 
     def is_low(self, loan_s: float, now: float) -> bool:
         """Return whether to borrow before the tokens are used up."""
--- a/cardamomflow/quotas/bucket.py
+++ b/cardamomflow/quotas/bucket.py
@@ -6,7 +6,7 @@
 window, whatever happens to the messages that carry the loans.
 """
 
-import collections
+import heapq
 import math
 from typing import NamedTuple
 
@@ -22,8 +22,9 @@
 # Share of the capacity that loans take up at the full rate. With all of it,
 # a bucket with any token left could not refill.
 LOAN_CAPACITY_SHARE = 0.9
-# Loans that expire within this time count as one, which bounds their number.
-_MERGED_S = 0.01
+# Time of a loan of one token: it is asked for a request that waits for it, and
+# its capacity is soon free again.
+SINGLE_LOAN_S = 0.1
 _ROUNDING = 1e-9
 
 
@@ -89,14 +90,11 @@
     )
 
 
-class _Loan:
+class _Loan(NamedTuple):
     """Tokens that were lent and expire at one time."""
 
-    __slots__ = ('expires_at', 'tokens')
-
-    def __init__(self, expires_at: float, tokens: int) -> None:
-        self.expires_at = expires_at
-        self.tokens = tokens
+    expires_at: float
+    tokens: int
 
 
 class EscrowBucket:
@@ -114,7 +112,8 @@
         self.lent = 0
         self._level = 0.0
         self._updated_at = now
-        self._loans: collections.deque[_Loan] = collections.deque()
+        # A heap by expiry.
+        self._loans: list[_Loan] = []
 
     def configure(self, limit: Limit, now: float) -> None:
         """Apply another limit; tokens above the new capacity are lost."""
@@ -140,20 +139,20 @@
         self._level += 1
         self._refill(now)
 
-    def lend(self, wanted: int, now: float) -> int:
-        """Lend tokens for `limit.loan_s`; return their number."""
+    def loan_s(self, wanted: int) -> float:
+        """Return for how long tokens are lent, in seconds."""
+        if wanted == 1:
+            return min(self.limit.loan_s, SINGLE_LOAN_S)
+        return self.limit.loan_s
+
+    def lend(self, wanted: int, loan_s: float, now: float) -> int:
+        """Lend tokens for some time in seconds; return their number."""
         granted = min(wanted, self.level(now))
         if granted < 1:
             return 0
         self._level -= granted
         self.lent += granted
-        expires_at = now + self.limit.loan_s
-        newest = self._loans[-1] if self._loans else None
-        if newest and expires_at - newest.expires_at < _MERGED_S:
-            newest.expires_at = max(newest.expires_at, expires_at)
-            newest.tokens += granted
-        else:
-            self._loans.append(_Loan(expires_at, granted))
+        heapq.heappush(self._loans, _Loan(now + loan_s, granted))
         return granted
 
     def wait_s(self, now: float) -> float:
@@ -161,7 +160,7 @@
         missing = 1 - self._level if self.level(now) < 1 else 0
         refill_s = missing / self.limit.rate_per_s
         room = self.limit.capacity - self.lent
-        for loan in self._loans:
+        for loan in sorted(self._loans):
             if room >= 1:
                 break
             room += loan.tokens
@@ -171,7 +170,7 @@
     def _advance(self, now: float) -> None:
         """Refill the bucket, and end the loans that have expired."""
         while self._loans and self._loans[0].expires_at <= now:
-            loan = self._loans.popleft()
+            loan = heapq.heappop(self._loans)
             self._refill(loan.expires_at)
             self.lent -= loan.tokens
         self._refill(now)
--- a/cardamomflow/quotas/service.py
+++ b/cardamomflow/quotas/service.py
@@ -328,9 +328,11 @@
         return permit
 
     def give_back(
-        self, account: table.Account, permit: borrowing.Permit
+        self, account: table.Account | None, permit: borrowing.Permit | None
     ) -> None:
         """Return the token of a request that was refused as not run."""
+        if account is None or permit is None:
+            return
         tokens = self._allocations_by_name.get(account.name)
         if tokens is not None:
             now = self._clock()
--- /dev/null
+++ b/tests/test_quota_bound.py
@@ -0,0 +1,111 @@
+"""Checks the sum of all hosts in every window over histories of faults.
+
+The bound is the one that the design aims at, which is below that of the rules.
+Each guard is removed in turn on seeds that were found to need it.
+"""
+
+import unittest
+from unittest import mock
+
+from cardamomflow.quotas import borrowing, bucket, holders
+from tests import quotaworld
+
+HISTORIES = 2000
+DURATION_S = 45
+# The first seeds that exceed the bound without the guard.
+SEEDS_BY_GUARD = {
+    'expiry of loans': (64, 169, 182),
+    'capacity reduced by loans': (309,),
+    'quarantine': (7, 79, 178),
+    'empty start': (479, 632, 735),
+    'age of the view': (70, 149, 178),
+    'agreement of the hosts': (7, 79, 178),
+    'one use of a grant': (8, 59, 226),
+}
+
+
+def start_full(self, limit, now, start=bucket.EscrowBucket.__init__):
+    start(self, limit, now)
+    self._level = limit.capacity
+
+
+def refill_beside_loans(self, now):
+    elapsed_s = max(0, now - self._updated_at)
+    self._updated_at = max(self._updated_at, now)
+    refilled = self._level + elapsed_s * self.limit.rate_per_s
+    self._level = min(refilled, self.limit.capacity)
+
+
+def accept_any_grant(self, request_id, tokens, valid_s, now):
+    if tokens:
+        self._loans.append([now + valid_s, tokens])
+
+
+PATCHES_BY_GUARD = {
+    'expiry of loans': (borrowing.Borrowing, '_expire', lambda *_: None),
+    'capacity reduced by loans': (
+        bucket.EscrowBucket,
+        '_refill',
+        refill_beside_loans,
+    ),
+    'quarantine': (holders, 'QUARANTINE_S', 0),
+    'empty start': (bucket.EscrowBucket, '__init__', start_full),
+    'age of the view': (holders.Holders, 'is_fresh', lambda *_: True),
+    'agreement of the hosts': (
+        holders.Holders,
+        '_is_agreed',
+        lambda *_: True,
+    ),
+    'one use of a grant': (borrowing.Borrowing, 'on_grant', accept_any_grant),
+}
+
+
+def excess(seed):
+    """Return the requests above the bound in the worst window."""
+    world = quotaworld.World(seed).run(DURATION_S)
+    most = world.most_in_window(quotaworld.RESERVE.window_s)
+    return most - world.allowed
+
+
+class BoundTest(unittest.TestCase):
+    def test_every_window_is_within_the_limit(self):
+        """Guards against any way to spend a token twice.
+
+        Partitions, kills, restarts, pauses, lost, late and repeated messages,
+        outages of the store, late views, and clocks that differ.
+        """
+        exceeding_seeds = [
+            seed for seed in range(HISTORIES) if excess(seed) > 0
+        ]
+        self.assertEqual(exceeding_seeds, [])
+
+    def test_histories_use_most_of_the_limit(self):
+        """Guards against a bound that holds since nothing is admitted."""
+        worlds = [quotaworld.World(seed).run(DURATION_S) for seed in range(50)]
+        shares = [
+            world.most_in_window(quotaworld.RESERVE.window_s) / world.allowed
+            for world in worlds
+        ]
+        self.assertGreater(max(shares), 0.9)
+
+    def test_design_bound_is_within_the_rule(self):
+        """Guards against a capacity that is above the allowed reserve."""
+        reserve = quotaworld.RESERVE
+        for account in quotaworld.ACCOUNTS:
+            for zones in range(1, 11):
+                limit = bucket.zone_limit(account, zones, reserve)
+                usual = account.rate_per_s * reserve.window_s
+                self.assertLessEqual(
+                    zones * limit.capacity + usual,
+                    (usual + account.burst) * (1 + reserve.overage)
+                    + reserve.slack,
+                )
+
+    def test_each_guard_is_needed(self):
+        """Guards against a model that would not notice a missing guard."""
+        for guard, patched in PATCHES_BY_GUARD.items():
+            seeds = SEEDS_BY_GUARD[guard]
+            with self.subTest(guard):
+                with mock.patch.object(*patched):
+                    self.assertGreater(max(map(excess, seeds)), 0)
+                self.assertLessEqual(max(map(excess, seeds)), 0)
