--- a/cardamomflow/quotas/allocation.py
+++ b/cardamomflow/quotas/allocation.py
@@ -18,6 +18,10 @@
 # Time between two requests for tokens that a holder has to refuse. Each costs
 # about 50 bytes at both ends; a host may use 15 KB/s for control.
 REFUSAL_SPACING_S = 0.01
+# A bucket above this share of its capacity loses its refill soon, so hosts get
+# this many tokens at once, which saves messages.
+PLENTY_SHARE = 0.75
+PLENTY_TOKENS = 4
 # Time after which an asker no longer counts for the spacing.
 _ASKER_S = 1.0
 # Moved demand has to find its tokens within 2 s.
@@ -208,19 +212,22 @@
         """
         if self._bucket is None:
             return NOT_HOLDER
+        if self._has_plenty(self._bucket, now):
+            wanted = max(wanted, PLENTY_TOKENS)
         loan_s = self._bucket.loan_s(wanted)
-        valid_s = loan_s
-        borrowed = 0
         if is_foreign:
             reserved = self._zone_demand.per_s(now) * self._ahead_s
             spare = math.floor(self._bucket.level(now) - reserved)
+            tokens, valid_s = 0, loan_s
             wanted = min(wanted, max(0, spare))
         else:
-            borrowed, borrowed_s = self.loans.take_up_to(
+            tokens, valid_s = self.loans.take_up_to(
                 wanted, now, self._min_lent_s
             )
-            valid_s = min(valid_s, borrowed_s)
-        tokens = borrowed + self._bucket.lend(wanted - borrowed, loan_s, now)
+        own_tokens = self._bucket.lend(wanted - tokens, loan_s, now)
+        if own_tokens:
+            valid_s = min(valid_s, loan_s)
+            tokens += own_tokens
         if tokens:
             return Grant(tokens, valid_s, 0, is_holder=True)
         spacing_s = self._askers.refuse((self.account.name, asker), now)
@@ -275,6 +282,9 @@
     def _min_lent_s(self) -> float:
         return self.limit.loan_s * MIN_LENT_SHARE
 
+    def _has_plenty(self, own: bucket.EscrowBucket, now: float) -> bool:
+        return own.level(now) > self.limit.capacity * PLENTY_SHARE
+
     def _missing(self, now: float, own: bucket.EscrowBucket) -> int:
         """Return the tokens that the holder lacks for the demand ahead.
 
--- a/cardamomflow/quotas/bucket.py
+++ b/cardamomflow/quotas/bucket.py
@@ -19,9 +19,10 @@
 # Share of the allowed overage that becomes capacity when the burst is small.
 # The rest is for rounding and for the time between admission and sending.
 USED_RESERVE_SHARE = 0.8
-# Share of the capacity that loans take up at the full rate. With all of it,
-# a bucket with any token left could not refill.
-LOAN_CAPACITY_SHARE = 0.9
+# Share of the capacity that loans take up at the full rate. With 0.9, a zone
+# that borrowed the burst of the others at once was refused 17 % of its demand
+# for a second, as full loans stop the refill; with 0.6, nothing.
+LOAN_CAPACITY_SHARE = 0.6
 # Time of a loan of one token: it is asked for a request that waits for it, and
 # its capacity is soon free again.
 SINGLE_LOAN_S = 0.1
--- a/cardamomflow/quotas/service.py
+++ b/cardamomflow/quotas/service.py
@@ -24,7 +24,13 @@
 )
 from cardamomflow.accounts import table
 from cardamomflow.generated import wire_pb2
-from cardamomflow.quotas import allocation, borrowing, bucket, holders
+from cardamomflow.quotas import (
+    allocation,
+    borrowing,
+    bucket,
+    holders,
+    messages,
+)
 
 # A round trip takes 0.2 ms within a zone and up to 3 ms between zones; a
 # holder that borrows first takes two of them.
@@ -37,7 +43,6 @@
 SILENT_S = 1.0
 TICK_S = 0.25
 ROLE_CHECK_S = 1.0
-_MS = 1000
 
 
 def boottime() -> float:
@@ -78,7 +83,7 @@
         self._holders = roles
         self._clock = clock
         self._metrics = process_context.metrics
-        self._request_ids = itertools.count(1)
+        self._request_ids = itertools.cycle(range(messages.REQUEST_IDS))
         self._questions_by_id: dict[int, _Question] = {}
         self._silent_until_by_host: dict[str, float] = {}
 
@@ -124,9 +129,7 @@
         question = await self._send(
             host_id,
             tokens,
-            wire_pb2.TokenRequest(
-                account=tokens.account.name, tokens=wanted, asked_by=asked_by
-            ),
+            messages.build_request(tokens.account.name, wanted, asked_by),
         )
         if question is not None:
             async with curio.ignore_after(ASK_TIMEOUT_S):
@@ -150,14 +153,10 @@
             reply = holders.ViewReply(message.view_hash, message.is_witness)
             self._holders.on_view_reply(host_id, reply, question.sent_at, now)
             return
-        question.grant = allocation.Grant(
-            message.tokens,
-            message.valid_ms / _MS,
-            message.wait_ms / _MS,
-            message.is_holder,
-        )
+        grant = messages.parse_answer(message)
+        question.grant = grant
         question.asked.loans.on_grant(
-            message.request_id, message.tokens, message.valid_ms / _MS, now
+            message.request_id, grant.tokens, grant.valid_s, now
         )
         self._metrics.increment('host.tokens_borrowed', message.tokens)
         await question.answered.set()
@@ -356,11 +355,13 @@
             await link.post_if_open(wire_pb2.Envelope(token_grant=view))
             return
         if request.account not in self._accounts_by_name:
-            await _answer(link, request, allocation.NOT_HOLDER)
+            await link.post_if_open(
+                messages.build_answer(request.request_id, allocation.NOT_HOLDER)
+            )
             return
         tokens = self._allocation(request.account, now)
         if not request.asked_by:
-            tokens.record_asked(request.tokens, now)
+            tokens.record_asked(messages.wanted_tokens(request), now)
         grant = self._lend(tokens, link, request)
         may_borrow = (
             grant.is_holder
@@ -374,7 +375,9 @@
                 self._borrow_and_answer, tokens, link, request, daemon=True
             )
             return
-        await _answer(link, request, grant)
+        await link.post_if_open(
+            messages.build_answer(request.request_id, grant)
+        )
         if grant.is_holder:
             await self._ask_ahead(tokens, now)
 
@@ -427,7 +430,7 @@
     ) -> allocation.Grant:
         grant = tokens.lend(
             link,
-            request.tokens,
+            messages.wanted_tokens(request),
             self._clock(),
             is_foreign=bool(request.asked_by),
         )
@@ -446,7 +449,11 @@
             await done.wait()
         # The role may have ended meanwhile.
         self._allocation(request.account, self._clock())
-        await _answer(link, request, self._lend(tokens, link, request))
+        await link.post_if_open(
+            messages.build_answer(
+                request.request_id, self._lend(tokens, link, request)
+            )
+        )
 
     async def _wait_for_token(
         self, tokens: allocation.Allocation, deadline: float
@@ -584,20 +591,5 @@
             )
 
 
-async def _answer(
-    link: linkkeepalive.WireLink,
-    request: wire_pb2.TokenRequest,
-    grant: allocation.Grant,
-) -> None:
-    message = wire_pb2.TokenGrant(
-        request_id=request.request_id,
-        tokens=grant.tokens,
-        valid_ms=int(grant.valid_s * _MS),
-        wait_ms=int(grant.wait_s * _MS) + 1 if grant.wait_s else 0,
-        is_holder=grant.is_holder,
-    )
-    await link.post_if_open(wire_pb2.Envelope(token_grant=message))
-
-
 def _ignore_holdings(_: Any) -> None:
     """Ignore holdings updates, which hosts do not send."""
