--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -49,6 +49,7 @@
     ZONE_SHARE = 'zone share changed'
     CUT_OFF = 'cut off'
     CONNECTED_AGAIN = 'connected again'
+    TOKEN_HOLDER = 'token holder'
 
     # Requests.
     REQUEST_ENDED = 'request ended'
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -37,6 +37,7 @@
 from cardamomflow.accounts import authentication
 from cardamomflow.accounts import table as accounts_table
 from cardamomflow.platform import front
+from cardamomflow.quotas import service as quota_service
 
 # Number of hosts that is assumed before the first count: a small fleet.
 INITIAL_HOST_COUNT = 8
@@ -88,6 +89,7 @@
         )
         self.transport = self.active_requests.transport
         self.peer_client = self.active_requests.peer_client
+        self.quotas = quota_service.Quotas(process_context, self.peer_client)
         self._dispatcher = self.active_requests.dispatcher
         self.zones = zonewatch.ZoneWatch(
             process_context, self.directory, self._dispatcher, self.transport
@@ -114,6 +116,7 @@
         self.grace_period.retain(table.names)
         self._dispatcher.apply(table)
         self.zones.apply(table)
+        await self.quotas.apply(table.accounts)
         self.on_bounds_changed(
             serverconnection.Bounds(
                 head_bytes=table.limits.head_bytes,
@@ -139,6 +142,7 @@
         self._confirmation_age.record(
             confirmed_at, self._clock(), _read_boot_time()
         )
+        self.quotas.on_confirmed(confirmed_at)
 
     async def on_hosts_counted(self, hosts: int) -> None:
         """Update the number of hosts that share connections and budgets.
@@ -163,6 +167,7 @@
     ) -> None:
         """Update the hosts that parts of queries can be handed over to."""
         members = list(members)
+        await self.quotas.on_members(members)
         capacity = ownership.usual_capacity(
             [self.peer_client.owners.own, *members]
         )
@@ -259,7 +264,14 @@
         now = self._clock()
         try:
             time_budget = self.grace_period.limit(route, time_budget, now)
-        except errors.Stopping as error:
+            permit = await self.quotas.admit(
+                account, now + min(time_budget.remaining_s, route.timeout_s)
+            )
+        except (
+            errors.Stopping,
+            errors.QuotaExceeded,
+            errors.QuotaUnknown,
+        ) as error:
             self.request_log.log_refusal(
                 message.request_id.decode('latin-1'),
                 error,
@@ -277,6 +289,8 @@
             account,
         )
         ending = await self.active_requests.run(work)
+        if ending is requeststate.Ending.NOT_RUN:
+            self.quotas.give_back(account, permit)
         self._metrics.increment(f'host.ended.{ending.name.lower()}')
         duration_s = self._clock() - work.started_at
         self._metrics.observe('host.latency', work.rank.label, duration_s)
