Retry a failed store from one host of a group, and prefer served sources

All hosts called a store that was down each 0.1 to 0.4 s. While another host sends the changes, calls become up to three times as rare. Entries that expired until the first successful call are still held.

A refused host could follow another refused one and went on calling the store. It now accepts only hosts with the store for 0.4 s. A single failed call starts no search while the host's knowledge is recent, and a host that replaces a relay sends its first confirmation at once.

--- a/cardamomflow/changefeed.py
+++ b/cardamomflow/changefeed.py
@@ -43,6 +43,13 @@
 PROBE_INTERVAL_S = 0.25
 FAST_SEARCH_S = 5.0
 SLOW_PROBE_INTERVAL_S = 0.75
+# Time within which only hosts with a working platform are accepted as sources.
+# A host that follows one of them needs no calls of its own.
+PREFER_SERVED_S = 0.4
+# Age after which a new confirmation is sent to subscribers at once. A host that
+# begins to watch the platform in place of a relay has old knowledge, and its
+# subscribers would leave it before their next request.
+OLD_CONFIRMATION_S = 1.5
 # Knowledge that is newer by less than this is not worth another source.
 MINIMUM_GAIN_S = 0.1
 # Oldest knowledge with which a host is accepted as source. It leaves time for a
@@ -353,15 +360,28 @@
         self._probe_at = float('-inf')
         self._asked_ids: set[str] = set()
 
-    @property
-    def is_active(self) -> bool:
-        """Whether this host looks for a source."""
-        return self._started_at is not None
-
     def stop(self) -> None:
         """End the search."""
         self._started_at = None
 
+    def accepts(
+        self,
+        heartbeat: Update,
+        position: Position,
+        known_at: float,
+        now: float,
+    ) -> bool:
+        """Whether to follow the host that sent a heartbeat.
+
+        The arguments are those of `is_useful_source`.
+        """
+        if self._started_at is None:
+            return False
+        is_early = now - self._started_at < PREFER_SERVED_S
+        if heartbeat.is_turned_away and is_early:
+            return False
+        return is_useful_source(heartbeat, position, known_at, now)
+
     def next_probes(
         self, candidates: Iterable[str], now: float
     ) -> Sequence[str]:
--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -48,9 +48,16 @@
 # and long enough that a fleet makes few calls to a store that is down.
 RETRY_MINIMUM_S = 0.1
 RETRY_MAXIMUM_S = 0.4
-# Waits between calls that fail while another host sends the changes.
+# The same for a host that is outranked as relay by a reachable one. It asks the
+# others how new their knowledge is meanwhile, so a store that is down costs a
+# few calls of each group.
+GROUP_RETRY_MINIMUM_S = 0.8
+GROUP_RETRY_MAXIMUM_S = 1.6
+# The same while another host sends the changes, for the first failed call; the
+# next ones are up to `MAX_FED_FACTOR` times as far apart.
 FED_RETRY_MINIMUM_S = 0.7
 FED_RETRY_MAXIMUM_S = 1.5
+MAX_FED_FACTOR = 3
 # Waits before lists are read again after the platform lost its history, for the
 # host that relays to its group, and for the others, which usually receive the
 # lists from it before their wait ends.
@@ -60,6 +67,9 @@
 # A watch without an answer for this long after its wait counts as unanswered,
 # and the host looks for another one that knows more. Calls take milliseconds.
 LATE_ANSWER_S = 0.3
+# Age of a host's knowledge below which it asks no other host after a failed
+# call: the next call often succeeds. Its subscribers leave it at 2.6 s.
+SEARCH_AGE_S = 1.5
 HOST_TTL_S = 10.0
 ANNOUNCE_INTERVAL_S = 3.0
 _MS = 1000
@@ -226,6 +236,10 @@
         self._attempt: storewatch.Attempt | None = None
         self._is_turned_away = False
         self._retry_at = float('-inf')
+        # Failed calls in a row while another host sent the changes.
+        self._fed_failures = 0
+        # Whether calls failed since the last changes, and no host sent any.
+        self._was_out = False
         # Whether the newest changes came from another host.
         self._has_relayed = False
         self._started_at = process_context.clock()
@@ -291,19 +305,38 @@
         # While another host sends the changes, entries that vanish have not
         # vanished in an outage.
         is_fed = (
-            self._has_relayed and now - self._known_at < changefeed.MAX_AGE_S
+            self._peers.relay is not None
+            and now - self._known_at < changefeed.MAX_AGE_S
         )
+        self._fed_failures = self._fed_failures + 1 if is_fed else 0
         if not is_fed:
+            self._was_out = True
             self._directory.record_outage(now)
         self._peers.on_platform_lost(self._directory.outage_until)
-        # An immediate retry may hit the same fault: after a reset, a server may
-        # not accept a new connection for 1 s.
-        pause_s = (
-            self._random.uniform(FED_RETRY_MINIMUM_S, FED_RETRY_MAXIMUM_S)
-            if is_fed
-            else self._random.uniform(RETRY_MINIMUM_S, RETRY_MAXIMUM_S)
+        self._retry_at = now + self._retry_pause_s()
+
+    def _retry_pause_s(self) -> float:
+        """Return how long to wait after a failed call.
+
+        An immediate retry may hit the same fault: after a reset, a server may
+        not accept a new connection for 1 s.
+        """
+        if self._fed_failures:
+            factor = min(self._fed_failures, MAX_FED_FACTOR)
+            return factor * self._random.uniform(
+                FED_RETRY_MINIMUM_S, FED_RETRY_MAXIMUM_S
+            )
+        if self._peers.is_preferred_relay:
+            return self._random.uniform(RETRY_MINIMUM_S, RETRY_MAXIMUM_S)
+        return self._random.uniform(
+            GROUP_RETRY_MINIMUM_S, GROUP_RETRY_MAXIMUM_S
         )
-        self._retry_at = now + pause_s
+
+    def _hold_after_outage(self) -> None:
+        """Keep entries that may have expired in an outage until now."""
+        if self._was_out:
+            self._was_out = False
+            self._directory.record_outage(self._clock())
 
     async def _apply_next(
         self, position: changefeed.Position | None
@@ -361,12 +394,12 @@
         )
         if self._needs_lists:
             call = self._source.read
-        late_at = now
+        late_at = max(now, self._known_at + SEARCH_AGE_S)
         expects_answer = not self._is_turned_away
         if self._needs_lists:
             expects_answer = self._peers.is_preferred_relay
         if expects_answer:
-            late_at += pause_s + wait_s + LATE_ANSWER_S
+            late_at = now + pause_s + wait_s + LATE_ANSWER_S
         attempt = storewatch.Attempt(
             late_at,
             call,
@@ -386,6 +419,7 @@
     ) -> changefeed.Position:
         """Apply and relay lists of the store; return the position reached."""
         reached = _reached(changes, position)
+        self._hold_after_outage()
         await self.view.apply_lists(changes, position)
         self._needs_lists = False
         self._is_behind = False
@@ -404,6 +438,7 @@
             raise errors.HistoryLost(
                 f'the store lost changes before its era {reached.era}'
             )
+        self._hold_after_outage()
         if _count_changes(changes) < LARGE_BATCH:
             self._is_behind = False
         await self._apply_from_store(changes)
@@ -425,6 +460,7 @@
         self._calls.record_success('store')
         self._is_turned_away = False
         self._has_relayed = False
+        self._fed_failures = 0
         self._peers.on_platform_regained()
         if not self._is_behind:
             self._confirmed_at = self._clock()
@@ -454,6 +490,7 @@
         """Apply an update from the relay; return the position reached."""
         self._directory.hold_until(update.outage_until)
         self._has_relayed = True
+        self._was_out = False
         reached = changefeed.Position(update.era, update.revision)
         if update.content and reached > position:
             changes = self._source.parse(changefeed.unpack(update.content))
--- a/cardamomflow/feedlinks.py
+++ b/cardamomflow/feedlinks.py
@@ -271,7 +271,7 @@
         self, host_id: str, heartbeat: changefeed.Update
     ) -> None:
         """Follow a host that knows something newer, if none is followed."""
-        if self._search.is_active and changefeed.is_useful_source(
+        if self._search.accepts(
             heartbeat, self._position, self._known_at, self._clock()
         ):
             await self._follow_substitute(host_id, heartbeat)
--- a/cardamomflow/feedrelay.py
+++ b/cardamomflow/feedrelay.py
@@ -72,10 +72,14 @@
     async def publish(self, update: changefeed.Update) -> None:
         """Relay an update that is in force at this host."""
         self._history.append(update)
+        previously_known_at = self._known_at
         self._known_at = max(self._known_at, update.confirmed_at)
-        if not update.content or not self._subscribers:
+        gain_s = self._known_at - previously_known_at
+        is_news = update.content or gain_s > changefeed.OLD_CONFIRMATION_S
+        if not is_news or not self._subscribers:
             return
-        self._log_relayed(update)
+        if update.content:
+            self._log_relayed(update)
         for link in list(self._subscribers.requested_ms_by_link):
             await self._send_to_subscriber(link, update)
 
--- a/tests/test_changefeed.py
+++ b/tests/test_changefeed.py
@@ -180,3 +180,115 @@
             )
             self.subscription.next_update(at(10), now)
         self.assertEqual(self.subscription.relay, RANKED[0])
+
+
+class TurnedAwayTest(unittest.TestCase):
+    """Hosts that the platform turns away."""
+
+    def setUp(self):
+        self.subscription = changefeed.Subscription(RANKED[-1])
+
+    def test_relay_that_is_turned_away_is_replaced_at_once(self):
+        """Guards against 2.6 s without changes when a relay is refused."""
+        relay = self.subscription.choose_relay(GROUP, ALL_IDS, 0.0)
+        self.subscription.switch_relay(relay, 0.0)
+        self.subscription.receive(
+            relay,
+            update(10, 10, b'', confirmed_at=0.0)._replace(is_turned_away=True),
+        )
+        self.assertIsNone(self.subscription.next_update(at(10), 0.1))
+        self.assertEqual(
+            self.subscription.choose_relay(GROUP, ALL_IDS, 0.1), RANKED[1]
+        )
+
+    def test_hosts_that_only_hear_each_other_grow_old(self):
+        """Guards against relays that confirm each other's old state as new."""
+        known_at = {'one': 0.0, 'two': 0.15}
+        accepted = [
+            now / 10
+            for now in range(100)
+            for host_id, other_id in (('one', 'two'), ('two', 'one'))
+            if self.accept(known_at, host_id, other_id, now / 10)
+        ]
+        self.assertEqual(accepted, [0.0])
+        self.assertEqual(max(known_at.values()), 0.15)
+
+    def accept(self, known_at, host_id, other_id, now):
+        heartbeat = update(10, 10, b'', confirmed_at=known_at[other_id])
+        if not changefeed.is_useful_source(
+            heartbeat, at(10), known_at[host_id], now
+        ):
+            return False
+        known_at[host_id] = heartbeat.confirmed_at
+        return True
+
+    def test_old_or_incomplete_knowledge_is_refused(self):
+        """Guards against sources that are left again at once."""
+        now = changefeed.MAX_SOURCE_AGE_S
+        for heartbeat in (
+            update(10, 10, b'', confirmed_at=0.0),
+            update(9, 9, b'', confirmed_at=now),
+        ):
+            self.assertFalse(
+                changefeed.is_useful_source(heartbeat, at(10), -5.0, now)
+            )
+
+    def test_source_that_grew_old_may_be_used_again(self):
+        """Guards against avoiding the host that recovers first."""
+        self.subscription.switch_relay('h1', 0.0)
+        now = changefeed.FIRST_UPDATE_TIMEOUT_S
+        self.assertIsNone(self.subscription.next_substitute(at(10), now))
+        self.assertIsNone(self.subscription.relay)
+        self.assertFalse(self.subscription.is_incomplete('h1', now))
+
+    def test_source_with_a_gap_is_avoided(self):
+        """Guards against asking a host again that lacks what is missing."""
+        self.subscription.switch_relay('h1', 0.0)
+        self.subscription.receive('h1', update(15, 16))
+        self.assertIsNone(self.subscription.next_substitute(at(10), 0.1))
+        self.assertTrue(self.subscription.is_incomplete('h1', 0.1))
+
+
+class SourceSearchTest(unittest.TestCase):
+    def probes(self, span_s, count=23):
+        """Return the probes of a search by time, asked every 0.05 s."""
+        search = changefeed.SourceSearch()
+        candidates = [f'h{number}' for number in range(count)]
+        return [
+            (step / 20, host_id)
+            for step in range(int(span_s * 20))
+            for host_id in search.next_probes(candidates, step / 20)
+        ]
+
+    def test_largest_group_is_asked_within_a_second(self):
+        """Guards against a change that reaches a refused host too late."""
+        asked = {host_id for _, host_id in self.probes(1.0)}
+        self.assertEqual(len(asked), 23)
+
+    def test_long_search_sends_few_messages(self):
+        """Guards against a storm of messages in an outage of the platform.
+
+        All hosts search then, and each message has an answer.
+        """
+        late = [sent_at for sent_at, _ in self.probes(65) if sent_at >= 5]
+        self.assertLessEqual(len(late), 60 * 9)
+
+    def test_small_group_is_asked_again(self):
+        """Guards against a search that ends after one round."""
+        asked = [host_id for _, host_id in self.probes(1.0, count=2)]
+        self.assertEqual(asked.count('h1'), 4)
+
+    def test_source_with_the_platform_is_preferred(self):
+        """Guards against refused hosts that all go on calling the platform."""
+        search = changefeed.SourceSearch()
+        served = update(10, 10, b'', confirmed_at=9.0)
+        refused = served._replace(is_turned_away=True)
+        self.assertFalse(search.accepts(served, at(10), 0.0, 9.0))
+        search.next_probes(['h1'], 9.0)
+        later = 9.1 + changefeed.PREFER_SERVED_S
+        accepted = [
+            search.accepts(heartbeat, at(10), 0.0, now)
+            for now in (9.0, later)
+            for heartbeat in (refused, served)
+        ]
+        self.assertEqual(accepted, [False, True, True, True])
