--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -263,7 +263,7 @@
             program.quotas.run_links,
             *(() if peer_listener is None else (peer_listener.serve,)),
             follower.follow,
-            follower.expire_backends,
+            follower.view.expire,
             follower.own_entry.announce,
         ),
         (
--- a/cardamomflow/feedrelay.py
+++ b/cardamomflow/feedrelay.py
@@ -58,7 +58,10 @@
             heartbeat = self._history.heartbeat()
             updates = [] if heartbeat is None else [heartbeat]
         else:
-            updates = self._history.since(request.revision)
+            updates = self._history.since(
+                changefeed.Position(request.era, request.revision),
+                wants_lists=request.wants_lists,
+            )
         for update in updates:
             await self._send_to_subscriber(link, update)
 
@@ -69,10 +72,14 @@
     async def publish(self, update: changefeed.Update) -> None:
         """Relay an update that is in force at this host."""
         self._history.append(update)
+        previously_known_at = self._known_at
         self._known_at = max(self._known_at, update.confirmed_at)
-        if not update.content or not self._subscribers:
+        gain_s = self._known_at - previously_known_at
+        is_news = update.content or gain_s > changefeed.OLD_CONFIRMATION_S
+        if not is_news or not self._subscribers:
             return
-        self._log_relayed(update)
+        if update.content:
+            self._log_relayed(update)
         for link in list(self._subscribers.requested_ms_by_link):
             await self._send_to_subscriber(link, update)
 
@@ -136,6 +143,8 @@
             requested_ms=requested_ms,
             turned_away=self._is_turned_away(),
             is_probe_answer=is_probe_answer,
+            era=update.era,
+            is_complete=update.is_complete,
         )
         try:
             await link.post(wire_pb2.Envelope(feed_update=message))
