Serve a single fragmented body inside the limits

Cause: a body in chunks of one byte was refused with 400 after 5,461 chunks, also when nothing else went on, though it is inside the limits that the configuration states, and callers do not repeat a request after 400.

Change: one connection at a time may send such a body to its end; others get 503, which says that the request was not run.

Measured: the new test gets 200 for the first and 503 for the second of two such bodies; before, both got 400 (read from the code).

--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -89,12 +89,6 @@
     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
-class RequestFragmented(BadRequest):
-    """The pieces of the request cost far more than they carry."""
-
-    code = 'request_fragmented'
-
-
 class MethodNotAllowed(BadRequest):
     """The path does not support this method."""
 
@@ -134,6 +128,13 @@
     status = http.HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class RequestFragmented(Overloaded):
+    """The pieces of the request cost far more than they carry."""
+
+    code = 'request_fragmented'
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class QuotaExceeded(Overloaded):
     """The client account has used up its limit."""
 
--- a/cardamomflow/heldbytes/framing.py
+++ b/cardamomflow/heldbytes/framing.py
@@ -20,10 +20,13 @@
     ----------
     received_bytes : int
         Bytes of the body on the wire, with framing.
+    is_tolerated : bool
+        Whether the body is read whatever its framing costs.
     """
 
     def __init__(self, allowance_bytes: int) -> None:
         self.received_bytes = 0
+        self.is_tolerated = False
         self._allowance_bytes = allowance_bytes
         self._chunk_count = 0
         self._payload_bytes = 0
@@ -36,6 +39,8 @@
         errors.RequestFragmented
             The framing costs far more than the body carries.
         """
+        if self.is_tolerated:
+            return
         self._chunk_count += 1
         self._payload_bytes += payload_bytes
         useful_bytes = 2 * self._payload_bytes
--- a/cardamomflow/heldbytes/guard.py
+++ b/cardamomflow/heldbytes/guard.py
@@ -61,6 +61,8 @@
         self.clock = clock
         self._journal = journal
         self._metrics = metrics
+        # The one connection that may send a fragmented body now.
+        self._fragmented: budget.Holder | None = None
         # Evicted connections whose requests have not ended yet.
         self._ending: set[budget.Holder] = set()
         self._log_after_by_cause: dict[budget.Cause, float] = {}
@@ -72,6 +74,22 @@
         """Remove a connection that has ended."""
         self.budget.close(holder)
         self._ending.discard(holder)
+        self.end_fragmented(holder)
+
+    def admit_fragmented(self, holder: budget.Holder) -> bool:
+        """Return whether a connection may go on with a fragmented body.
+
+        Its events take seconds of processor time in all, so only one does at a
+        time: a single client inside the limits on requests is served.
+        """
+        if self._fragmented is None:
+            self._fragmented = holder
+        return self._fragmented is holder
+
+    def end_fragmented(self, holder: budget.Holder) -> None:
+        """Let another connection send a fragmented body."""
+        if self._fragmented is holder:
+            self._fragmented = None
 
     async def settle(self) -> None:
         """Let evicted requests end before more bytes are received.
--- a/cardamomflow/requestreading.py
+++ b/cardamomflow/requestreading.py
@@ -128,6 +128,7 @@
             await self._turns.end_block()
             body, self._body = self._body, bytearray()
             self._meter = None
+            self._guard.end_fragmented(self._holder)
         return bytes(body)
 
     def _append_body(self, event: Any) -> bool:
@@ -149,8 +150,10 @@
         try:
             self._meter.record(len(event.data))
         except errors.RequestFragmented:
-            self._guard.record(self._holder, budget.Cause.FRAMING)
-            raise
+            if not self._guard.admit_fragmented(self._holder):
+                self._guard.record(self._holder, budget.Cause.FRAMING)
+                raise
+            self._meter.is_tolerated = True
         return False
 
     async def _next_head(self) -> Any:
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -276,6 +276,47 @@
                 self.record(count, size, extension)
 
 
+class FragmentedBodyTest(unittest.TestCase):
+    """Bodies inside the limits in chunks of one byte each."""
+
+    def test_single_one_is_served_and_a_second_is_not_run(self):
+        """Guards against a legal request that is refused in calm."""
+        chunks = b'1\r\nx\r\n' * 8000
+        head = (
+            b'POST /payment/x HTTP/1.1\r\n'
+            b'host: shop.example\r\n'
+            b'x-request-id: r1\r\n'
+            b'x-request-deadline: 9000\r\n'
+            b'transfer-encoding: chunked\r\n\r\n'
+        )
+
+        async def read_status(sock):
+            return int((await sock.recv(65_536)).split(b' ', 2)[1])
+
+        async def scenario(world):
+            port = world.callers_port
+            first, second = [
+                await links.open_socket('127.0.0.1', port, 1.0)
+                for _ in range(2)
+            ]
+            async with first, second:
+                await first.sendall(head + chunks)
+                await loops.until(lambda: guard_of(world)._fragmented)
+                await second.sendall(head + chunks)
+                refused = await read_status(second)
+                await first.sendall(b'0\r\n\r\n')
+                served = await read_status(first)
+            return served, refused, len(world.backends_by_id['a0'].ran)
+
+        def guard_of(world):
+            return world.parts.caller_server._guard
+
+        served, refused, run_count = hostworld.run_scenario(
+            scenario, services=('a',), replicas=1
+        )
+        self.assertEqual((served, refused, run_count), (200, 503, 1))
+
+
 class TurnsTest(unittest.TestCase):
     """Connections with many events in a block."""
 
