Read the warm-up figures of services, entries and answers

Cause: the configuration's warmup_s and cold_per_s, an entry's warmup_left_ms and X-Cold-Remaining were not read, so cold backend servers could not be told from warm ones.

Change: RouteTable.warm_ups_by_service, Backend.warmup_left_s and Reply.cold_s carry them. A malformed warmup_left_ms makes its entry malformed; a malformed header or rate counts as absent.

--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -486,6 +486,7 @@
             invalid_headers=notices.invalid,
             may_be_passed_on=not_run
             or self._status not in wire.NOT_RUN_STATUSES,
+            cold_s=replyheaders.parse_cold_s(headers_by_name),
         )
 
     def _headers_to_forward(
--- a/cardamomflow/platform/documents.py
+++ b/cardamomflow/platform/documents.py
@@ -130,9 +130,28 @@
             idle_timeout_s=limits['idle_timeout_ms'] / _MS,
         ),
         _parse_accounts(document.get('tenants')),
+        {
+            service['name']: _parse_warm_up(service)
+            for service in document['services']
+            if service.get('cold_per_s')
+        },
     )
 
 
+def _parse_warm_up(document: dict[str, Any]) -> routes.WarmUp:
+    """Return what cold backend servers of a service tolerate.
+
+    A malformed number counts as absent, so that it can't stop a new revision.
+    """
+    figures = []
+    for name in ('warmup_s', 'cold_per_s'):
+        try:
+            figures.append(_parse_amount(document.get(name)))
+        except _DECODE_ERRORS:
+            figures.append(0)
+    return routes.WarmUp(*figures)
+
+
 def _describe(error: Exception) -> str:
     """Describe a decoding error without values of the document.
 
@@ -280,7 +299,13 @@
 ) -> register.Backend | None:
     address, port = _parse_address(document['address'])
     incarnation = document.get('born', 0)
-    counts = (document['slots'], document['sequence'], incarnation)
+    warmup_left_ms = document.get('warmup_left_ms', 0)
+    counts = (
+        document['slots'],
+        document['sequence'],
+        incarnation,
+        warmup_left_ms,
+    )
     is_valid = document['state'] in _BACKEND_STATES and all(
         map(_is_count, counts)
     )
@@ -295,6 +320,7 @@
         host_id='',
         leaving=document['state'] == 'draining',
         incarnation=incarnation,
+        warmup_left_s=warmup_left_ms / _MS,
     )
 
 
--- a/cardamomflow/platform/replyheaders.py
+++ b/cardamomflow/platform/replyheaders.py
@@ -24,6 +24,7 @@
 # A number with more digits is not a plausible time or load, and `int` raises an
 # error for more than 4,300 digits.
 _MAX_DIGITS = 9
+_MS = 1000
 _IS_LEAVING = b'1'
 _NOTICE_HEADERS = (wire.LEAVING, wire.RETRY_AFTER)
 
@@ -86,6 +87,14 @@
     return math.inf
 
 
+def parse_cold_s(headers_by_name: Mapping[bytes, bytes]) -> float | None:
+    """Return for how many seconds a backend server is cold, None if unknown."""
+    remaining_ms = headers_by_name.get(wire.COLD_REMAINING)
+    if remaining_ms is None or not _is_number(remaining_ms):
+        return None
+    return int(remaining_ms) / _MS
+
+
 @functools.lru_cache(maxsize=KNOWN_REPORTS)
 def parse_load(report: bytes) -> requeststate.Load | None:
     """Return the reported load, None without a valid report."""
--- a/cardamomflow/platform/wire.py
+++ b/cardamomflow/platform/wire.py
@@ -14,6 +14,7 @@
 LEAVING = b'server-leaving'  # `1` if the backend server is about to stop
 API_KEY = b'x-key'  # secret of a client account
 ACCOUNT = b'x-tenant'  # name of the client account that holds the key
+COLD_REMAINING = b'x-cold-remaining'  # milliseconds until it is warm
 RETRY_AFTER = b'retry-after'  # seconds without further requests
 PART_STAMPS = 'x-part-stamps'  # signatures, separated by commas
 MISSING_PARTS = 'x-missing-parts'  # number of parts
--- a/cardamomflow/register.py
+++ b/cardamomflow/register.py
@@ -47,6 +47,8 @@
     incarnation : int
         Increases when a backend server starts again under its id; 0 if
         unknown.
+    warmup_left_s : float
+        Seconds for which it was cold when the entry was written.
     """
 
     backend_id: str
@@ -57,6 +59,7 @@
     host_id: str
     leaving: bool
     incarnation: int = 0
+    warmup_left_s: float = 0
 
 
 class Index(NamedTuple):
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -68,6 +68,8 @@
     may_be_passed_on : bool
         False if the status would tell the caller that the request was not run,
         which the backend server did not state.
+    cold_s : float or None
+        Seconds for which the backend server is cold, None if it does not say.
     """
 
     status: int
@@ -81,6 +83,7 @@
     pause_s: float = 0
     invalid_headers: tuple[str, ...] = ()
     may_be_passed_on: bool = True
+    cold_s: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/cardamomflow/routes.py
+++ b/cardamomflow/routes.py
@@ -7,7 +7,8 @@
 import collections
 import math
 import random as random_module
-from collections.abc import Iterable, Iterator
+import types
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from cardamomflow import rules
@@ -112,6 +113,25 @@
     idle_timeout_s: float
 
 
+class WarmUp(NamedTuple):
+    """What the cold backend servers of a service tolerate.
+
+    Attributes
+    ----------
+    warmup_s : float
+        Seconds for which a backend server is cold after a start; 0 if unknown.
+    cold_per_s : float
+        Requests per second that a cold backend server tolerates; 0 means that
+        there is no bound.
+    """
+
+    warmup_s: float = 0
+    cold_per_s: float = 0
+
+
+_NO_WARM_UPS: Mapping[str, WarmUp] = types.MappingProxyType({})
+
+
 class RouteTable:
     """Routes of one revision."""
 
@@ -122,6 +142,7 @@
         connections_by_service: dict[str, int],
         limits: Limits,
         accounts: accounts_table.AccountTable = accounts_table.NO_ACCOUNTS,
+        warm_ups_by_service: Mapping[str, WarmUp] = _NO_WARM_UPS,
     ) -> None:
         """Index the routes by host name, longest prefix first.
 
@@ -133,11 +154,14 @@
             Connections that a backend server accepts from all hosts.
         limits : Limits
         accounts : accounts_table.AccountTable, optional
+        warm_ups_by_service : mapping of str to WarmUp, optional
+            The services whose cold backend servers have a bound.
         """
         self.revision = revision
         self.connections_by_service = connections_by_service
         self.limits = limits
         self.accounts = accounts
+        self.warm_ups_by_service = warm_ups_by_service
         self._routes = tuple(routes)
         self._routes_by_host: dict[str, list[Route]] = collections.defaultdict(
             list
