Bound the requests of all hosts to a cold backend server

Cause: nothing limited what a cold backend server gets, and a returning zone's servers come back cold together.

Change: the package coldstarts divides floor(cold_per_s x overage) slots of one request in 1.02 s among the listed hosts. A host uses the fewest slots of its lists of 15 s, and none when no list was confirmed for 13 s. The dispatcher asks it before each attempt, and checks queued work when a slot becomes free. Settings, metrics and log lines report it.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -20,6 +20,7 @@
     peering,
     requeststate,
 )
+from cardamomflow.coldstarts import bound, reporting
 from cardamomflow.platform import backendlink
 from cardamomflow.zonespill import overflowpolicy, traffic
 
@@ -47,6 +48,13 @@
             overflowpolicy.create(
                 process_context.settings, process_context.random
             ),
+            bound.ColdServers(
+                backend_directory,
+                bound.Reserve(**process_context.settings.get('warmup', {})),
+            ),
+        )
+        self._cold_report = reporting.ColdReport(
+            process_context, self.dispatcher.cold_servers
         )
         self._zone_traffic = traffic.ZoneTraffic(
             process_context, self.dispatcher.zone_policy
@@ -158,6 +166,7 @@
     async def send(self) -> None:
         """Send the attempts that were decided, and end refused requests."""
         self._zone_traffic.report_changes()
+        self._cold_report.report_changes(self._clock())
         for work in self.dispatcher.queues.pop_refused():
             changed = self._changed_by_work.get(work)
             if changed is not None:
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -25,6 +25,7 @@
     rules,
     servicequeues,
 )
+from cardamomflow.coldstarts import bound
 from cardamomflow.zonespill import policy, selection
 
 # A hedge that starts after this share of the target would miss the target.
@@ -45,6 +46,7 @@
         availability_zone: str,
         random: random_module.Random,
         zone_policy: policy.Policy = policy.NEAREST,
+        cold_servers: bound.ColdServers | None = None,
     ) -> None:
         """Create a dispatcher without routes.
 
@@ -57,8 +59,11 @@
         random : random.Random
         zone_policy : policy.Policy
             Decides which attempts leave the zone.
+        cold_servers : bound.ColdServers, optional
+            Bounds the attempts at cold backend servers.
         """
         self.zone_policy = zone_policy
+        self.cold_servers = cold_servers or bound.ColdServers(backends)
         self._directory = backends
         self._zone = availability_zone
         self._chooser = replicas.ReplicaChooser(random)
@@ -87,6 +92,7 @@
         """Apply the routes of a new revision."""
         self._table = table
         self.queues.apply(table)
+        self.cold_servers.apply(table.warm_ups_by_service)
         self._budgets.retain(table.services())
         self.zone_policy.retain(table.services())
         self.update_sharing(self._sharing)
@@ -186,6 +192,9 @@
             next_at = min(next_at, work.answer_at)
         delay_s = self._hedge_delay_s(work.route)
         for subrequest in work.open_subrequests():
+            if subrequest.is_queued:
+                next_at = min(next_at, self._check_queue(subrequest, now))
+                continue
             attempts = subrequest.open_attempts
             if len(attempts) != 1 or not _may_hedge(subrequest):
                 continue
@@ -255,6 +264,7 @@
         """Process changes to the list of backend servers."""
         for change in changes:
             self.notices.on_directory_change(change)
+            self.cold_servers.on_entry(change.backend_id, now)
             if not change.usable and self.occupancy.is_idle(change.backend_id):
                 self._chooser.remove(change.backend_id)
                 self.occupancy.forget(change.backend_id)
@@ -289,6 +299,8 @@
         attempt.end(outcome, now)
         self.zone_policy.record_end(attempt, reply, now)
         self.occupancy.record_end(backend_id)
+        if reply is not None and reply.cold_s is not None:
+            self.cold_servers.on_answer(backend_id, reply.cold_s, now)
         latency_s = now - attempt.started_at
         self._chooser.record_end(backend_id, outcome, latency_s, now)
         if outcome is limits.CallOutcome.SUCCESS:
@@ -334,7 +346,11 @@
             self.occupancy.is_idle,
         )
         choice = self._zones.choose(
-            subrequest, candidates, available, now, is_hedge=True
+            subrequest,
+            self.cold_servers.without_held_back(candidates, now),
+            self.cold_servers.without_held_back(available, now),
+            now,
+            is_hedge=True,
         )
         if (
             choice.backend_ids
@@ -357,7 +373,14 @@
         available = self.notices.accepting_more(
             available, now, self.occupancy.is_idle
         )
-        choice = self._zones.choose(subrequest, candidates, available, now)
+        open_ids = self.cold_servers.without_held_back(available, now)
+        self.cold_servers.record_held_back(len(available) - len(open_ids))
+        choice = self._zones.choose(
+            subrequest,
+            self.cold_servers.without_held_back(candidates, now),
+            open_ids,
+            now,
+        )
         return self._send_to_one(subrequest, choice, now)
 
     def _send_to_one(
@@ -372,6 +395,7 @@
         zone = self._directory.backends_by_id[backend_id].availability_zone
         self.reachability.record_request(zone, backend_id, now)
         self.occupancy.record_start(backend_id)
+        self.cold_servers.record_start(backend_id, now)
         self._chooser.record_start(backend_id, now)
         self.zone_policy.record_start(subrequest.service, zone, backend_id, now)
         self._new_attempts.append(subrequest.add_attempt(backend_id, zone, now))
@@ -384,7 +408,9 @@
         """
         backend = self._directory.backends_by_id[backend_id]
         is_silent = self.reachability.is_silent(backend.availability_zone)
-        return not is_silent and not self.notices.is_paused(backend_id, now)
+        if is_silent or self.notices.is_paused(backend_id, now):
+            return False
+        return self.cold_servers.is_eligible(backend_id, now)
 
     def _candidates(
         self, subrequest: requeststate.Subrequest, now: float
@@ -411,6 +437,22 @@
 
     # Queues.
 
+    def _check_queue(
+        self, subrequest: requeststate.Subrequest, now: float
+    ) -> float:
+        """Send queued work to cold backend servers; return the next check."""
+        service = subrequest.service
+        backend_ids = self._directory.usable(service)
+        next_at = self.cold_servers.next_check_at(backend_ids, now)
+        if next_at > now:
+            return next_at
+        self._send_queued(service, now)
+        # A backend server without a free place for this host may stay eligible.
+        return max(
+            now + bound.RECHECK_S,
+            self.cold_servers.next_check_at(backend_ids, now),
+        )
+
     def _send_queued(self, service: str, now: float) -> None:
         """Send queued subrequests while backend servers are free."""
         subrequest = self.queues.first(service, now)
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -31,6 +31,8 @@
     BACKEND_LEAVING = 'backend server leaving'
     BACKEND_PAUSED = 'backend server paused'
     BACKEND_RESUMED = 'backend server resumed'
+    BACKEND_COLD = 'backend server cold'
+    BACKEND_WARM = 'backend server warm'
     HEADER_IGNORED = 'invalid header ignored'
     HOSTS_COUNTED = 'hosts counted'
     PROCESS_REGISTERED = 'process registered'
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -5,9 +5,10 @@
 backend servers itself, so no aggregator is needed.
 """
 
+import functools
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import curio
@@ -20,6 +21,7 @@
     delegatedparts,
     directory,
     discovery,
+    dispatching,
     errors,
     events,
     extraload,
@@ -36,6 +38,7 @@
 )
 from cardamomflow.accounts import authentication
 from cardamomflow.accounts import table as accounts_table
+from cardamomflow.coldstarts import allocation
 from cardamomflow.platform import front
 
 # Number of hosts that is assumed before the first count: a small fleet.
@@ -102,6 +105,10 @@
         self._host_count = INITIAL_HOST_COUNT
         self._usual_capacity = math.inf
         self._keep_host_count_until = float('-inf')
+        self._members: list[ownership.Member] = []
+        self._dispatcher.cold_servers.view_age_s = functools.partial(
+            _real_age_s, self._confirmation_age
+        )
         self._update_sharing(self._host_count)
 
     # Updates from the platform.
@@ -114,6 +121,12 @@
         self.grace_period.retain(table.names)
         self._dispatcher.apply(table)
         self.zones.apply(table)
+        _update_cold_view(
+            self._dispatcher,
+            self.peer_client.owners,
+            self._members,
+            self._clock(),
+        )
         self.on_bounds_changed(
             serverconnection.Bounds(
                 head_bytes=table.limits.head_bytes,
@@ -184,6 +197,13 @@
         )
         if await self.peer_client.apply(members, home_zones, placement):
             self._update_sharing(self._host_count)
+        self._members = members
+        _update_cold_view(
+            self._dispatcher,
+            self.peer_client.owners,
+            self._members,
+            self._clock(),
+        )
 
     def apply_settings(self, document: Any) -> reloading.ReloadResult:
         """Apply changed budgets; other keys need a restart."""
@@ -244,7 +264,7 @@
         return authentication.authenticate(
             self._table.accounts,
             key,
-            self._confirmation_age.age_s(_read_boot_time()),
+            _real_age_s(self._confirmation_age),
             is_public=route.is_public,
         )
 
@@ -409,6 +429,23 @@
         )
 
 
+def _update_cold_view(
+    dispatcher: dispatching.Dispatcher,
+    owners: ownership.Ownership,
+    members: Sequence[ownership.Member],
+    now: float,
+) -> None:
+    """Update the hosts that divide the requests to cold backend servers."""
+    services = dispatcher.handed_over_services
+    view = allocation.create_view(
+        owners.own.host_id,
+        members,
+        services,
+        frozenset(filter(owners.owns, services)),
+    )
+    dispatcher.cold_servers.update_view(view, now)
+
+
 def _log_accounts(journal: logbook.Logger, table: routes.RouteTable) -> None:
     """Log which accounts are in force, and which parts are ignored."""
     accounts = table.accounts
@@ -432,6 +469,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _real_age_s(confirmation_age: authentication.ConfirmationAge) -> float:
+    """Return the real time since the platform's data was confirmed."""
+    return confirmation_age.age_s(_read_boot_time())
+
+
 def _ignore_bounds(_: Any) -> None:
     """Ignore changed bounds until a server is attached."""
 
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -73,6 +73,12 @@
         'kind',
         'Backend servers that announced a stop or a pause, or resumed work.',
     ),
+    MetricDefinition(
+        'host.cold_requests',
+        'host_cold_requests',
+        'decision',
+        'Requests to cold backend servers: sent, or held back at a free one.',
+    ),
     MetricDefinition(
         'host.zone_attempts',
         'host_zone_attempts',
@@ -428,6 +434,12 @@
         '',
         'Zones whose backend servers get nothing more.',
     ),
+    MetricDefinition(
+        'host.cold_backend_servers',
+        'host_cold_backend_servers',
+        '',
+        'Backend servers that are cold.',
+    ),
     MetricDefinition(
         'host.open_requests', 'host_open_requests', '', 'Requests in progress.'
     ),
