Send work that waits for a cold server from one task of the host

Cause: each waiting request checked its queue when a slot became free, so all of them woke for each slot.

Change: the dispatcher names the services with held-back work, and one task on demand sends it. A part that this host can never send is refused with the reason backend_servers_cold.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -71,6 +71,7 @@
         self._metrics = process_context.metrics
         self._journal = process_context.journal
         self._changed_by_work: dict[requeststate.Work, curio.Event] = {}
+        self._is_checking_queues = False
 
     @property
     def count(self) -> int:
@@ -177,6 +178,23 @@
             self._metrics.increment(f'host.sent.{kind}')
             self._zone_traffic.record_attempt(attempt)
             await self.transport.send(attempt)
+        if self.dispatcher.held_back_services and not self._is_checking_queues:
+            self._is_checking_queues = True
+            await curio.spawn(self._send_held_back, daemon=True)
+
+    async def _send_held_back(self) -> None:
+        """Send work that waits for cold backend servers, until none does.
+
+        One task for all requests: with a check by each of them, all would wake
+        when one of them can be sent.
+        """
+        try:
+            while self.dispatcher.held_back_services:
+                next_at = self.dispatcher.send_held_back(self._clock())
+                await self.send()
+                await curio.sleep(max(0, next_at - self._clock()))
+        finally:
+            self._is_checking_queues = False
 
     async def _report_notices(self, **fields: str) -> None:
         """Log the notices of backend servers, and close unused connections."""
--- a/cardamomflow/backendnotices.py
+++ b/cardamomflow/backendnotices.py
@@ -45,12 +45,30 @@
     headers: tuple[str, ...] = ()
 
 
+def _may_always_send(_backend_id: str, _now: float) -> bool:
+    return True
+
+
 class BackendNotices:
     """Notices that one host has received."""
 
     def __init__(
-        self, backends: directory.Directory, random: random_module.Random
+        self,
+        backends: directory.Directory,
+        random: random_module.Random,
+        may_send: Callable[[str, float], bool] = _may_always_send,
     ) -> None:
+        """Start without notices.
+
+        Parameters
+        ----------
+        backends : directory.Directory
+        random : random.Random
+        may_send : callable
+            Takes a backend server and a time, and returns whether this host
+            has a part of what it tolerates while it is cold.
+        """
+        self._may_send = may_send
         self._directory = backends
         self._pauses = backendpauses.BackendPauses(random)
         self._reported_ids: set[str] = set()
@@ -150,6 +168,10 @@
             return 'backend_servers_leaving'
         if usable_ids and self._pauses.remaining_s(usable_ids, now):
             return 'backend_servers_paused'
+        if usable_ids and not any(
+            self._may_send(backend_id, now) for backend_id in usable_ids
+        ):
+            return 'backend_servers_cold'
         return 'no_backend_server'
 
     def _record(
--- a/cardamomflow/coldstarts/bound.py
+++ b/cardamomflow/coldstarts/bound.py
@@ -8,7 +8,7 @@
 import collections
 import enum
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from cardamomflow import directory, register, routes
@@ -30,6 +30,8 @@
 # Interval in seconds between checks for a free place at a cold backend server
 # that this host may send to.
 RECHECK_S = 0.02
+# Longest time in seconds between checks: the lists of hosts may change.
+LONGEST_CHECK_S = 0.25
 # Reports of a longer cold time than this many times the service's warm-up time
 # are shortened, so that a false one can't hold work back for long.
 MAX_REPORT_FACTOR = 2
@@ -177,11 +179,11 @@
         return self._own_slots(backend_id, now) > 0
 
     def without_held_back(
-        self, backend_ids: Iterable[str], now: float
-    ) -> list[str]:
+        self, backend_ids: Sequence[str], now: float
+    ) -> Sequence[str]:
         """Return the backend servers that may get a request now."""
         if not self._cold_until_by_id or not self._limits_by_service:
-            return list(backend_ids)
+            return backend_ids
         return [
             backend_id
             for backend_id in backend_ids
@@ -207,11 +209,8 @@
     def next_check_at(self, backend_ids: Iterable[str], now: float) -> float:
         """Return when queued work should be checked again.
 
-        Infinite if none of the backend servers is cold: then the end of an
-        attempt starts the next check.
+        Infinite if none of the backend servers is cold.
         """
-        if not self._cold_until_by_id:
-            return math.inf
         cold_ids = self._cold_until_by_id.keys() & set(backend_ids)
         return min(
             (self.next_at(backend_id, now) for backend_id in cold_ids),
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -70,7 +70,9 @@
         self._zones = selection.ZoneSelection(
             backends, availability_zone, self._chooser, zone_policy
         )
-        self.notices = backendnotices.BackendNotices(backends, random)
+        self.notices = backendnotices.BackendNotices(
+            backends, random, self.cold_servers.is_eligible
+        )
         # Used only for hedge delays: budgets limit extra load by service.
         self._hedges = hedging.HedgePolicy(
             rules.Hedging(
@@ -84,6 +86,8 @@
         self.queues = servicequeues.ServiceQueues(zone_policy)
         # Services whose parts may be requested from other hosts.
         self.handed_over_services: frozenset[str] = frozenset()
+        # Services with work that may wait for a cold backend server.
+        self.held_back_services: set[str] = set()
         self._table: routes.RouteTable | None = None
         self._sharing = extraload.FleetBudget(1, 0, 0)
         self._new_attempts: list[requeststate.Attempt] = []
@@ -192,9 +196,6 @@
             next_at = min(next_at, work.answer_at)
         delay_s = self._hedge_delay_s(work.route)
         for subrequest in work.open_subrequests():
-            if subrequest.is_queued:
-                next_at = min(next_at, self._check_queue(subrequest, now))
-                continue
             attempts = subrequest.open_attempts
             if len(attempts) != 1 or not _may_hedge(subrequest):
                 continue
@@ -205,6 +206,23 @@
                 self._hedge(subrequest, now)
         return next_at
 
+    def send_held_back(self, now: float) -> float:
+        """Send queued work to cold backend servers that may get it now.
+
+        Returns when to call this again.
+        """
+        next_at = now + bound.LONGEST_CHECK_S
+        for service in list(self.held_back_services):
+            self._send_queued(service, now)
+            if self.queues.first(service, now) is None:
+                self.held_back_services.discard(service)
+            else:
+                service_at = self.cold_servers.next_check_at(
+                    self._directory.usable(service), now
+                )
+                next_at = min(next_at, service_at)
+        return max(next_at, now + bound.RECHECK_S)
+
     # Events from backend servers.
 
     def on_reply(
@@ -374,7 +392,9 @@
             available, now, self.occupancy.is_idle
         )
         open_ids = self.cold_servers.without_held_back(available, now)
-        self.cold_servers.record_held_back(len(available) - len(open_ids))
+        if len(open_ids) < len(available):
+            self.cold_servers.record_held_back(len(available) - len(open_ids))
+            self.held_back_services.add(subrequest.service)
         choice = self._zones.choose(
             subrequest,
             self.cold_servers.without_held_back(candidates, now),
@@ -437,22 +457,6 @@
 
     # Queues.
 
-    def _check_queue(
-        self, subrequest: requeststate.Subrequest, now: float
-    ) -> float:
-        """Send queued work to cold backend servers; return the next check."""
-        service = subrequest.service
-        backend_ids = self._directory.usable(service)
-        next_at = self.cold_servers.next_check_at(backend_ids, now)
-        if next_at > now:
-            return next_at
-        self._send_queued(service, now)
-        # A backend server without a free place for this host may stay eligible.
-        return max(
-            now + bound.RECHECK_S,
-            self.cold_servers.next_check_at(backend_ids, now),
-        )
-
     def _send_queued(self, service: str, now: float) -> None:
         """Send queued subrequests while backend servers are free."""
         subrequest = self.queues.first(service, now)
