--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -25,6 +25,7 @@
     rules,
     servicequeues,
 )
+from cardamomflow.coldstarts import bound
 from cardamomflow.zonespill import policy, selection
 
 # A hedge that starts after this share of the target would miss the target.
@@ -45,6 +46,7 @@
         availability_zone: str,
         random: random_module.Random,
         zone_policy: policy.Policy = policy.NEAREST,
+        cold_servers: bound.ColdServers | None = None,
     ) -> None:
         """Create a dispatcher without routes.
 
@@ -57,15 +59,20 @@
         random : random.Random
         zone_policy : policy.Policy
             Decides which attempts leave the zone.
+        cold_servers : bound.ColdServers, optional
+            Bounds the attempts at cold backend servers.
         """
         self.zone_policy = zone_policy
+        self.cold_servers = cold_servers or bound.ColdServers(backends)
         self._directory = backends
         self._zone = availability_zone
         self._chooser = replicas.ReplicaChooser(random)
         self._zones = selection.ZoneSelection(
             backends, availability_zone, self._chooser, zone_policy
         )
-        self.notices = backendnotices.BackendNotices(backends, random)
+        self.notices = backendnotices.BackendNotices(
+            backends, random, self.cold_servers.is_eligible
+        )
         # Used only for hedge delays: budgets limit extra load by service.
         self._hedges = hedging.HedgePolicy(
             rules.Hedging(
@@ -79,6 +86,8 @@
         self.queues = servicequeues.ServiceQueues(zone_policy)
         # Services whose parts may be requested from other hosts.
         self.handed_over_services: frozenset[str] = frozenset()
+        # Services with work that may wait for a cold backend server.
+        self.held_back_services: set[str] = set()
         self._table: routes.RouteTable | None = None
         self._sharing = extraload.FleetBudget(1, 0, 0)
         self._new_attempts: list[requeststate.Attempt] = []
@@ -87,6 +96,7 @@
         """Apply the routes of a new revision."""
         self._table = table
         self.queues.apply(table)
+        self.cold_servers.apply(table.warm_ups_by_service)
         self._budgets.retain(table.services())
         self.zone_policy.retain(table.services())
         self.update_sharing(self._sharing)
@@ -196,6 +206,23 @@
                 self._hedge(subrequest, now)
         return next_at
 
+    def send_held_back(self, now: float) -> float:
+        """Send queued work to cold backend servers that may get it now.
+
+        Returns when to call this again.
+        """
+        next_at = now + bound.LONGEST_CHECK_S
+        for service in list(self.held_back_services):
+            self._send_queued(service, now)
+            if self.queues.first(service, now) is None:
+                self.held_back_services.discard(service)
+            else:
+                service_at = self.cold_servers.next_check_at(
+                    self._directory.usable(service), now
+                )
+                next_at = min(next_at, service_at)
+        return max(next_at, now + bound.RECHECK_S)
+
     # Events from backend servers.
 
     def on_reply(
@@ -255,6 +282,7 @@
         """Process changes to the list of backend servers."""
         for change in changes:
             self.notices.on_directory_change(change)
+            self.cold_servers.on_entry(change.backend_id, now)
             if not change.usable and self.occupancy.is_idle(change.backend_id):
                 self._chooser.remove(change.backend_id)
                 self.occupancy.forget(change.backend_id)
@@ -289,6 +317,8 @@
         attempt.end(outcome, now)
         self.zone_policy.record_end(attempt, reply, now)
         self.occupancy.record_end(backend_id)
+        if reply is not None and reply.cold_s is not None:
+            self.cold_servers.on_answer(backend_id, reply.cold_s, now)
         latency_s = now - attempt.started_at
         self._chooser.record_end(backend_id, outcome, latency_s, now)
         if outcome is limits.CallOutcome.SUCCESS:
@@ -334,7 +364,11 @@
             self.occupancy.is_idle,
         )
         choice = self._zones.choose(
-            subrequest, candidates, available, now, is_hedge=True
+            subrequest,
+            self.cold_servers.without_held_back(candidates, now),
+            self.cold_servers.without_held_back(available, now),
+            now,
+            is_hedge=True,
         )
         if (
             choice.backend_ids
@@ -357,7 +391,16 @@
         available = self.notices.accepting_more(
             available, now, self.occupancy.is_idle
         )
-        choice = self._zones.choose(subrequest, candidates, available, now)
+        open_ids = self.cold_servers.without_held_back(available, now)
+        if len(open_ids) < len(available):
+            self.cold_servers.record_held_back(len(available) - len(open_ids))
+            self.held_back_services.add(subrequest.service)
+        choice = self._zones.choose(
+            subrequest,
+            self.cold_servers.without_held_back(candidates, now),
+            open_ids,
+            now,
+        )
         return self._send_to_one(subrequest, choice, now)
 
     def _send_to_one(
@@ -372,6 +415,7 @@
         zone = self._directory.backends_by_id[backend_id].availability_zone
         self.reachability.record_request(zone, backend_id, now)
         self.occupancy.record_start(backend_id)
+        self.cold_servers.record_start(backend_id, now)
         self._chooser.record_start(backend_id, now)
         self.zone_policy.record_start(subrequest.service, zone, backend_id, now)
         self._new_attempts.append(subrequest.add_attempt(backend_id, zone, now))
@@ -384,7 +428,9 @@
         """
         backend = self._directory.backends_by_id[backend_id]
         is_silent = self.reachability.is_silent(backend.availability_zone)
-        return not is_silent and not self.notices.is_paused(backend_id, now)
+        if is_silent or self.notices.is_paused(backend_id, now):
+            return False
+        return self.cold_servers.is_eligible(backend_id, now)
 
     def _candidates(
         self, subrequest: requeststate.Subrequest, now: float
