Check the bytes of fields that were added lately

The recorded bytes of FeedRequest, FeedUpdate and TokenGrant did not cover the fields probe, wants_lists, turned_away, is_probe_answer, is_complete, valid_ms, view_hash and is_witness, so a renumbered one would not have been noticed.

--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -364,9 +364,20 @@
         for message, expected in (
             (wire_pb2.PartsRequest(account='a'), b'\x5a\x01a'),
             (wire_pb2.FeedRequest(era=2), b'\x28\x02'),
+            (wire_pb2.FeedRequest(probe=True), b'\x30\x01'),
+            (wire_pb2.FeedRequest(wants_lists=True), b'\x38\x01'),
             (wire_pb2.FeedUpdate(era=2), b'\x38\x02'),
+            (wire_pb2.FeedUpdate(turned_away=True), b'\x40\x01'),
+            (wire_pb2.FeedUpdate(is_probe_answer=True), b'\x48\x01'),
+            (wire_pb2.FeedUpdate(is_complete=True), b'\x50\x01'),
+            (wire_pb2.TokenGrant(valid_ms=2), b'\x28\x02'),
+            (
+                wire_pb2.TokenGrant(view_hash=2),
+                b'\x31\x02\x00\x00\x00\x00\x00\x00\x00',
+            ),
+            (wire_pb2.TokenGrant(is_witness=True), b'\x38\x01'),
         ):
-            with self.subTest(message.DESCRIPTOR.name):
+            with self.subTest(str(message)):
                 self.assertEqual(message.SerializeToString(), expected)
 
     def test_added_messages(self):
