Let a host without the setting peers hold all limits at once

Without peers a host is not listed, so nobody was the holder of an account and limited accounts got 503 quota_unknown.

Such a host counts as the only one: it has the whole limit in one role for the life of its process. Its bucket starts with a fourth of the slack that the capacities leave, so four starts in one window stay within the limit.

--- a/cardamomflow/quotas/allocation.py
+++ b/cardamomflow/quotas/allocation.py
@@ -111,8 +111,25 @@
     """
 
     def __init__(
-        self, account: table.Account, limit: bucket.Limit, askers: Askers
+        self,
+        account: table.Account,
+        limit: bucket.Limit,
+        askers: Askers,
+        *,
+        is_alone: bool = False,
     ) -> None:
+        """Start without tokens.
+
+        Parameters
+        ----------
+        account : table.Account
+        limit : bucket.Limit
+        askers : Askers
+        is_alone : bool, optional
+            Whether the host is the only one. It does not need the reserve for
+            other hosts, so its bucket starts with a part of it.
+        """
+        self._is_alone = is_alone
         self.account = account
         self.limit = limit
         self.loans = borrowing.Borrowing()
@@ -143,7 +160,10 @@
             self._bucket.configure(limit, now)
 
     def set_role(self, acting_since: float | None, now: float) -> None:
-        """Start with an empty bucket at each begin of the role."""
+        """Start with an empty bucket at each begin of the role.
+
+        Only a host without others starts with a few tokens.
+        """
         if acting_since == self._acting_since:
             return
         self._acting_since = acting_since
@@ -151,6 +171,8 @@
         if acting_since is not None:
             self._bucket = bucket.EscrowBucket(self.limit, now)
             self.refusal = None
+            if self._is_alone:
+                self._bucket.add(self.limit.unsettled.start_tokens, now)
 
     # Requests of callers.
 
--- a/cardamomflow/quotas/bucket.py
+++ b/cardamomflow/quotas/bucket.py
@@ -26,6 +26,8 @@
 # Time of a loan of one token: it is asked for a request that waits for it, and
 # its capacity is soon free again.
 SINGLE_LOAN_S = 0.1
+# Starts of the only host in one window for which the slack is enough.
+STARTS_IN_WINDOW = 4
 _ROUNDING = 1e-9
 
 
@@ -47,6 +49,25 @@
     slack: float = 20.0
 
 
+class Unsettled(NamedTuple):
+    """Tokens of one zone beside those of its settled holder.
+
+    Attributes
+    ----------
+    rate_per_s : float
+    capacity : float
+    start_tokens : float
+        First tokens of a host that is the only one.
+    """
+
+    rate_per_s: float
+    capacity: float
+    start_tokens: float
+
+
+_NO_RESERVE = Unsettled(0, 0, 0)
+
+
 class Limit(NamedTuple):
     """Limit of an account in one zone.
 
@@ -57,11 +78,14 @@
         Tokens and loans that may exist at one time.
     loan_s : float
         Time in seconds for which a loan is valid.
+    unsettled : Unsettled
+        What is left of the allowed requests.
     """
 
     rate_per_s: float
     capacity: float
     loan_s: float
+    unsettled: 'Unsettled' = _NO_RESERVE
 
 
 def zone_limit(account: table.Account, zones: int, reserve: Reserve) -> Limit:
@@ -88,6 +112,33 @@
         min(
             LOAN_S, max(MIN_LOAN_S, LOAN_CAPACITY_SHARE * capacity / rate_per_s)
         ),
+        _unsettled(account, capacity * zones, zones, reserve),
+    )
+
+
+def window_limit(account: table.Account, reserve: Reserve) -> float:
+    """Return the requests of all hosts that the rules allow in a window."""
+    usual = account.rate_per_s * reserve.window_s + account.burst
+    return usual * (1 + reserve.overage) + reserve.slack
+
+
+def _unsettled(
+    account: table.Account, capacity: float, zones: int, reserve: Reserve
+) -> Unsettled:
+    """Return what settled holders leave of the slack, for one zone.
+
+    A capacity above the burst has taken part of the reserve already.
+    """
+    settled = account.rate_per_s * reserve.window_s + capacity
+    left = min(reserve.slack, window_limit(account, reserve) - settled)
+    in_window = max(0.0, left / zones)
+    capacity = min(in_window, max(1.0, in_window / 2))
+    # Loans of the former host may be valid when the next one begins.
+    refill_s = reserve.window_s + SINGLE_LOAN_S
+    return Unsettled(
+        (in_window - capacity) / refill_s,
+        capacity,
+        in_window / STARTS_IN_WINDOW,
     )
 
 
@@ -122,6 +173,12 @@
         self.limit = limit
         self._refill(now)
 
+    def add(self, tokens: float, now: float) -> None:
+        """Add tokens, up to the capacity."""
+        self._advance(now)
+        self._level += tokens
+        self._refill(now)
+
     def level(self, now: float) -> int:
         """Return the number of whole tokens."""
         self._advance(now)
@@ -136,9 +193,7 @@
 
     def put_back(self, now: float) -> None:
         """Return the token of a request that was not sent."""
-        self._advance(now)
-        self._level += 1
-        self._refill(now)
+        self.add(1, now)
 
     def loan_s(self, wanted: int) -> float:
         """Return for how long tokens are lent, in seconds."""
--- a/cardamomflow/quotas/holders.py
+++ b/cardamomflow/quotas/holders.py
@@ -75,9 +75,22 @@
         Hash of the listed hosts of the own zone.
     """
 
-    def __init__(self, own_id: str, own_zone: str, now: float) -> None:
-        """Start as a host that was not a holder."""
+    def __init__(
+        self, own_id: str, own_zone: str, now: float, *, is_alone: bool = False
+    ) -> None:
+        """Start as a host that was not a holder.
+
+        Parameters
+        ----------
+        own_id : str
+        own_zone : str
+        now : float
+        is_alone : bool, optional
+            Whether there are no other hosts. The host then has all roles.
+        """
         self.view_hash = 0
+        self._is_alone = is_alone
+        self._started_at = now
         self._own_id = own_id
         self._own_zone = own_zone
         self._ids_by_zone: dict[str, frozenset[str]] = {}
@@ -176,6 +189,9 @@
         another time, so that its bucket starts empty.
         """
         self.tick(now)
+        if self._is_alone:
+            # The same role for the life of the process.
+            self._acting_since_by_account[account] = self._started_at
         acting_since = self._acting_since_by_account.get(account)
         if acting_since is not None:
             return acting_since
@@ -196,9 +212,12 @@
 
     def retain(self, accounts: Collection[str]) -> None:
         """Forget the roles of accounts that are no longer limited."""
-        for account in list(self._first_since_by_account):
-            if account not in accounts:
-                self._drop(account)
+        known = (
+            self._first_since_by_account.keys()
+            | self._acting_since_by_account.keys()
+        )
+        for account in known - set(accounts):
+            self._drop(account)
         for firsts in self._firsts_by_zone.values():
             for account in firsts.keys() - set(accounts):
                 del firsts[account]
--- a/cardamomflow/quotas/service.py
+++ b/cardamomflow/quotas/service.py
@@ -220,7 +220,9 @@
             self._own.availability_zone,
             *settings.get('availability_zones', ()),
         }
-        self._zone_count = len(zones)
+        # Without an address for other hosts, this host is the only one.
+        self._is_alone = not peer_client.is_enabled
+        self._zone_count = 1 if self._is_alone else len(zones)
         self._reserve = bucket.Reserve(**settings.get('quota', {}))
         self._clock = clock
         self._monotonic = process_context.clock
@@ -228,7 +230,10 @@
         self._metrics = process_context.metrics
         self._journal = process_context.journal
         self._holders = holders.Holders(
-            self._own.host_id, self._own.availability_zone, clock()
+            self._own.host_id,
+            self._own.availability_zone,
+            clock(),
+            is_alone=self._is_alone,
         )
         self._messenger = _Messenger(
             process_context, peer_client, self._holders, clock
@@ -413,7 +418,10 @@
         if tokens is None:
             account = self._accounts_by_name[name]
             tokens = allocation.Allocation(
-                account, self._limit(account), self._askers
+                account,
+                self._limit(account),
+                self._askers,
+                is_alone=self._is_alone,
             )
             self._allocations_by_name[name] = tokens
         tokens.set_role(self._holders.acting_since(name, now), now)
@@ -548,6 +556,8 @@
 
         The others take turns, so that no zone lends all the tokens.
         """
+        if self._is_alone:
+            return []
         name = tokens.account.name
         zones = self._holders.zones()
         if zones:
--- a/tests/test_quota_holders.py
+++ b/tests/test_quota_holders.py
@@ -57,6 +57,19 @@
         host.pass_time(0.5)
         self.assertIsNotNone(host.acting_since)
 
+    def test_only_host_keeps_its_roles(self):
+        """Guards against a host that waits for others that do not exist."""
+        alone = holders.Holders('h0', 'z1', 1000.0, is_alone=True)
+        begun_at = alone.acting_since(ACCOUNT, 1000.0)
+        self.assertIsNotNone(begun_at)
+        # A pause, and no confirmation.
+        self.assertEqual(
+            alone.acting_since(ACCOUNT, 1000.0 + 2 * QUARANTINE_S), begun_at
+        )
+        self.assertEqual(alone.role_count, 1)
+        alone.retain(())
+        self.assertEqual(alone.role_count, 0)
+
     def test_other_hosts_are_no_holders(self):
         """Guards against several holders in one zone."""
         for host_id in others_of(FIRST):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -49,6 +49,37 @@
         self.assertTrue(escrow.take(9))
 
 
+class OnlyHostTest(unittest.TestCase):
+    def test_restarts_stay_within_the_limit(self):
+        """Guards against tokens of a start that exceed the limit."""
+        reserve = bucket.Reserve()
+        for account in (
+            table.Account('a', rate_per_s=9.5),
+            table.Account('a', rate_per_s=1, burst=1),
+            table.Account('a', rate_per_s=20, burst=500),
+            table.Account('a', rate_per_s=1000),
+        ):
+            limit = bucket.zone_limit(account, 1, reserve)
+            used, end = 0, 100
+            interval_s = reserve.window_s / bucket.STARTS_IN_WINDOW
+            # A host that had all its tokens, and then starts again and again.
+            for started_at in (0, *(end + n * interval_s for n in range(4))):
+                tokens = allocation.Allocation(
+                    account, limit, allocation.Askers(), is_alone=True
+                )
+                tokens.set_role(started_at, started_at)
+                spent_at = max(end, started_at)
+                while spent_at <= max(end, started_at + interval_s - 0.001):
+                    while tokens.take(spent_at) is not None:
+                        used += 1
+                    spent_at += 0.01
+            with self.subTest(account):
+                self.assertGreater(used, account.rate_per_s * reserve.window_s)
+                self.assertLessEqual(
+                    used, bucket.window_limit(account, reserve)
+                )
+
+
 class BorrowingTest(unittest.TestCase):
     def test_loan_expires_by_the_time_of_the_request(self):
         """Guards against a late grant that outlives the holder's record."""
