Show a limited account and its neighbour in the demo

The demo did not show limits, since its host had no holder.

Both accounts now have a limit of 1 request per second. One sends until it is refused with 429, and the other one is answered after that.

--- a/standins/accountdemo.py
+++ b/standins/accountdemo.py
@@ -25,6 +25,11 @@
 _POLL_S = 0.05
 KEYS_BY_ACCOUNT = {'alpha': 'demo-key-of-alpha', 'beta': 'demo-key-of-beta'}
 UNKNOWN_KEY = 'demo-key-of-nobody'
+LIMITED, NEIGHBOUR = KEYS_BY_ACCOUNT
+RATE_PER_S = 1.0
+# The host is the only one, so an account gets at most 10 requests of its
+# capacity at once, however long the host has been waiting.
+_MAX_REQUESTS = 30
 
 
 class Outcome(NamedTuple):
@@ -35,6 +40,10 @@
     unknown_status : int
     unknown_code : str
     statuses_by_account : dict of str to int
+    limited_statuses : list of int
+        Answers to one account up to the first refused request.
+    neighbour_status : int
+        Answer to the other account after that.
     received : list of dict
         Headers of the requests at the backend server.
     log : str
@@ -44,6 +53,8 @@
     unknown_status: int
     unknown_code: str
     statuses_by_account: dict[str, int]
+    limited_statuses: list[int]
+    neighbour_status: int
     received: list[dict[str, str]]
     log: str
 
@@ -75,12 +86,20 @@
         name: (await _request(port, key))[0]
         for name, key in KEYS_BY_ACCOUNT.items()
     }
-    # The limit of an account (quotas) is shown here: more requests of `alpha`
-    # than its limit, and one of `beta` between them.
+    limited_statuses = [statuses_by_account[LIMITED]]
+    while (
+        limited_statuses[-1] == http.HTTPStatus.OK
+        and len(limited_statuses) < _MAX_REQUESTS
+    ):
+        status, _ = await _request(port, KEYS_BY_ACCOUNT[LIMITED])
+        limited_statuses.append(status)
+    neighbour_status, _ = await _request(port, KEYS_BY_ACCOUNT[NEIGHBOUR])
     return Outcome(
         unknown_status,
         json.loads(body)['error']['code'],
         statuses_by_account,
+        limited_statuses,
+        neighbour_status,
         [request.headers for request in backend.ran],
         _log_path(folder).read_text(),
     )
@@ -94,7 +113,7 @@
         [_SERVICE],
     )
     document['tenants'] = [
-        {'name': name, 'api_keys': [key]}
+        {'name': name, 'api_keys': [key], 'rate_per_s': RATE_PER_S}
         for name, key in KEYS_BY_ACCOUNT.items()
     ]
     store.put(wire.CONFIGURATION_KEY, document)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -198,9 +198,26 @@
     )
     for name, status in outcome.statuses_by_account.items():
         _check(status == _HTTP_OK, f'a request of {name} is answered')
+    _check(
+        outcome.limited_statuses[-1] == http.HTTPStatus.TOO_MANY_REQUESTS,
+        f'{accountdemo.LIMITED} is refused with 429 above its limit',
+    )
+    _check(
+        outcome.neighbour_status == _HTTP_OK,
+        f'{accountdemo.NEIGHBOUR} is answered meanwhile',
+    )
+    served_count = outcome.limited_statuses.count(_HTTP_OK)
     names = [headers.get('x-tenant') for headers in outcome.received]
+    limited_names = (
+        accountdemo.LIMITED for _ in outcome.limited_statuses[1:served_count]
+    )
     _check(
-        names == list(accountdemo.KEYS_BY_ACCOUNT),
+        names
+        == [
+            *accountdemo.KEYS_BY_ACCOUNT,
+            *limited_names,
+            accountdemo.NEIGHBOUR,
+        ],
         'the backend server got the names of the accounts',
     )
     shown = f'{outcome.received} {outcome.log}'
