Serve limited accounts from a reserve while no host is their holder

After a restart of all hosts, and in an outage of the store of over 8 s, no host may act as holder, and accounts within their limits got 503 for 14 s.

The first host of a zone in its own view now issues from a reserve bucket meanwhile. They start empty, and lend single tokens in their zone only.

Without the capacity of the bucket the bound fails. The check of settled holders alone is unchanged. tests.test_quotas, test_quota_holders, test_quota_hosts, test_hosting, test_accounts, test_metrics, test_error_codes and test_recorded pass.

--- a/cardamomflow/quotas/allocation.py
+++ b/cardamomflow/quotas/allocation.py
@@ -136,6 +136,8 @@
         self.refusal: Refusal | None = None
         self._askers = askers
         self._bucket: bucket.EscrowBucket | None = None
+        # Tokens for the time in which this host may become the holder.
+        self._reserve: bucket.EscrowBucket | None = None
         self._acting_since: float | None = None
         # Tokens that the hosts of the own zone want.
         self._zone_demand = borrowing.Demand()
@@ -158,12 +160,34 @@
         self.refusal = None
         if self._bucket is not None:
             self._bucket.configure(limit, now)
+        if self._reserve is not None:
+            self._reserve.configure(bucket.reserve_limit(limit), now)
 
-    def set_role(self, acting_since: float | None, now: float) -> None:
-        """Start with an empty bucket at each begin of the role.
+    def set_role(
+        self,
+        acting_since: float | None,
+        now: float,
+        *,
+        is_unsettled: bool = False,
+    ) -> None:
+        """Start with an empty bucket at each begin of a role.
 
         Only a host without others starts with a few tokens.
+
+        Parameters
+        ----------
+        acting_since : float or None
+            Since when this host is the holder; None if it is not.
+        now : float
+        is_unsettled : bool, optional
+            Whether this host is the first of its zone, but not the holder yet.
         """
+        if not is_unsettled:
+            self._reserve = None
+        elif self._reserve is None:
+            self._reserve = bucket.EscrowBucket(
+                bucket.reserve_limit(self.limit), now
+            )
         if acting_since == self._acting_since:
             return
         self._acting_since = acting_since
@@ -188,6 +212,9 @@
         if permit is None and self._bucket is not None:
             if self._bucket.take(now):
                 permit = borrowing.OWN_PERMIT
+        if permit is None and self._reserve is not None:
+            if self._reserve.take(now):
+                permit = borrowing.RESERVE_PERMIT
         if permit is not None:
             self._admitted.record(now)
         return permit
@@ -196,6 +223,9 @@
         """Return the token of a request that was not sent."""
         if permit.expires_at is not None:
             self.loans.put_back(permit, now)
+        elif permit.is_reserve:
+            if self._reserve is not None:
+                self._reserve.put_back(now)
         elif self._bucket is not None:
             self._bucket.put_back(now)
 
@@ -233,7 +263,7 @@
             holders do not lend the same tokens back and forth.
         """
         if self._bucket is None:
-            return NOT_HOLDER
+            return self._lend_reserve(now, is_foreign=is_foreign)
         if self._has_plenty(self._bucket, now):
             wanted = max(wanted, PLENTY_TOKENS)
         loan_s = self._bucket.loan_s(wanted)
@@ -294,7 +324,11 @@
 
     def is_unused(self, now: float) -> bool:
         """Return whether nothing here has to be kept."""
-        return self._bucket is None and self.loans.is_unused(now)
+        return (
+            self._bucket is None
+            and self._reserve is None
+            and self.loans.is_unused(now)
+        )
 
     @property
     def _ahead_s(self) -> float:
@@ -304,6 +338,18 @@
     def _min_lent_s(self) -> float:
         return self.limit.loan_s * MIN_LENT_SHARE
 
+    def _lend_reserve(self, now: float, *, is_foreign: bool) -> Grant:
+        """Lend one token of the reserve to a host of the own zone.
+
+        Without one, the asker goes on to the holders of other zones.
+        """
+        if self._reserve is None or is_foreign:
+            return NOT_HOLDER
+        tokens = self._reserve.lend(1, bucket.SINGLE_LOAN_S, now)
+        if not tokens:
+            return NOT_HOLDER
+        return Grant(tokens, bucket.SINGLE_LOAN_S, 0, is_holder=True)
+
     def _has_plenty(self, own: bucket.EscrowBucket, now: float) -> bool:
         return own.level(now) > self.limit.capacity * PLENTY_SHARE
 
--- a/cardamomflow/quotas/borrowing.py
+++ b/cardamomflow/quotas/borrowing.py
@@ -60,12 +60,16 @@
     ----------
     expires_at : float or None
         When a borrowed token expires; None for a token of an own bucket.
+    is_reserve : bool
+        Whether it is from the reserve of a host that is no holder yet.
     """
 
     expires_at: float | None
+    is_reserve: bool = False
 
 
 OWN_PERMIT = Permit(None)
+RESERVE_PERMIT = Permit(None, is_reserve=True)
 
 
 class Borrowing:
--- a/cardamomflow/quotas/bucket.py
+++ b/cardamomflow/quotas/bucket.py
@@ -116,6 +116,12 @@
     )
 
 
+def reserve_limit(limit: Limit) -> Limit:
+    """Return the limit of a host that is not a settled holder yet."""
+    unsettled = limit.unsettled
+    return Limit(unsettled.rate_per_s, unsettled.capacity, SINGLE_LOAN_S)
+
+
 def window_limit(account: table.Account, reserve: Reserve) -> float:
     """Return the requests of all hosts that the rules allow in a window."""
     usual = account.rate_per_s * reserve.window_s + account.burst
--- a/cardamomflow/quotas/holders.py
+++ b/cardamomflow/quotas/holders.py
@@ -205,6 +205,12 @@
         self._acting_since_by_account[account] = now
         return now
 
+    def is_unsettled(self, account: str, now: float) -> bool:
+        """Return whether this host is first, but may not act as holder."""
+        return self.acting_since(account, now) is None and self._is_first(
+            account
+        )
+
     @property
     def role_count(self) -> int:
         """Number of accounts whose tokens this host issues."""
--- a/cardamomflow/quotas/service.py
+++ b/cardamomflow/quotas/service.py
@@ -340,7 +340,7 @@
         tokens = self._allocations_by_name.get(account.name)
         if tokens is not None:
             now = self._clock()
-            tokens.set_role(self._holders.acting_since(account.name, now), now)
+            self._set_role(tokens, now)
             tokens.put_back(permit, now)
             self._metrics.increment('host.tokens_returned')
 
@@ -424,9 +424,17 @@
                 is_alone=self._is_alone,
             )
             self._allocations_by_name[name] = tokens
-        tokens.set_role(self._holders.acting_since(name, now), now)
+        self._set_role(tokens, now)
         return tokens
 
+    def _set_role(self, tokens: allocation.Allocation, now: float) -> None:
+        name = tokens.account.name
+        tokens.set_role(
+            self._holders.acting_since(name, now),
+            now,
+            is_unsettled=self._holders.is_unsettled(name, now),
+        )
+
     def _limit(self, account: table.Account) -> bucket.Limit:
         return bucket.zone_limit(account, self._zone_count, self._reserve)
 
@@ -577,11 +585,12 @@
     async def _check_roles(self, now: float) -> None:
         """Start and end roles, and forget what is no longer needed."""
         for name in self._accounts_by_name:
-            if self._holders.acting_since(name, now) is not None:
+            is_holder = self._holders.acting_since(name, now) is not None
+            if is_holder or self._holders.is_unsettled(name, now):
                 # The bucket fills from now on.
                 self._allocation(name, now)
         for name, tokens in list(self._allocations_by_name.items()):
-            tokens.set_role(self._holders.acting_since(name, now), now)
+            self._set_role(tokens, now)
             tokens.loans.forget_requests(now - bucket.LOAN_S)
             if tokens.is_unused(now) and name not in self._done_by_name:
                 del self._allocations_by_name[name]
--- a/tests/test_quota_holders.py
+++ b/tests/test_quota_holders.py
@@ -70,6 +70,17 @@
         alone.retain(())
         self.assertEqual(alone.role_count, 0)
 
+    def test_first_host_is_unsettled_until_it_acts(self):
+        """Guards against a reserve beside the role, or at other hosts."""
+        host = Clock(FIRST)
+        self.assertTrue(host.holders.is_unsettled(ACCOUNT, host.now))
+        host.pass_time(QUARANTINE_S + 1)
+        self.assertFalse(host.holders.is_unsettled(ACCOUNT, host.now))
+        host.pass_time(holders.VIEW_AGE_S + 1, is_confirmed=False)
+        self.assertTrue(host.holders.is_unsettled(ACCOUNT, host.now))
+        other = Clock(SECOND)
+        self.assertFalse(other.holders.is_unsettled(ACCOUNT, other.now))
+
     def test_other_hosts_are_no_holders(self):
         """Guards against several holders in one zone."""
         for host_id in others_of(FIRST):
--- a/tests/test_quota_hosts.py
+++ b/tests/test_quota_hosts.py
@@ -23,6 +23,7 @@
 QUARANTINE_S = 0.5
 RUN_S = 3.0
 CALLERS = 4
+ATTEMPTS = 200
 
 
 def reserve_address():
@@ -201,6 +202,23 @@
 
         self.assertEqual(play(scenario), 0.25)
 
+    def test_hosts_without_settled_holders_use_the_reserve(self):
+        """Guards against a limited account that gets only 503 for a while."""
+
+        async def scenario(world):
+            codes = []
+            with mock.patch.object(
+                holders.Holders, 'acting_since', lambda *_: None
+            ):
+                while '' not in codes and len(codes) < ATTEMPTS:
+                    await curio.sleep(0.05)
+                    codes.append(await call(world.asker(FLOODING), FLOODING))
+            return codes
+
+        codes = play(scenario)
+        self.assertEqual(codes[-1], '')
+        self.assertLessEqual(set(codes), {'', 'quota_unknown'})
+
     def test_request_that_was_not_run_returns_its_token(self):
         """Guards against limits that are used up by refused requests."""
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -127,6 +127,23 @@
             tokens.lend('h', 5, 12, is_foreign=False), allocation.NOT_HOLDER
         )
 
+    def test_reserve_is_lent_in_the_zone_alone(self):
+        """Guards against a reserve that other zones or a holder use up."""
+        account = table.Account('a', rate_per_s=10, burst=20)
+        limit = bucket.zone_limit(account, 2, bucket.Reserve())
+        tokens = allocation.Allocation(account, limit, allocation.Askers())
+        tokens.set_role(None, 0, is_unsettled=True)
+        self.assertIsNone(tokens.take(0))
+        self.assertEqual(
+            tokens.lend('h', 1, 5, is_foreign=True), allocation.NOT_HOLDER
+        )
+        # One token even if the asker wants more.
+        self.assertEqual(tokens.lend('h', 9, 5, is_foreign=False).tokens, 1)
+        self.assertEqual(tokens.take(5), borrowing.RESERVE_PERMIT)
+        self.assertFalse(tokens.is_unused(5))
+        tokens.set_role(6, 6)
+        self.assertIsNone(tokens.take(6))
+
     def test_relent_token_expires_with_its_loan(self):
         """Guards against a chain of loans that outlives the first one."""
         tokens = self.create()
