--- a/cardamomflow/quotas/service.py
+++ b/cardamomflow/quotas/service.py
@@ -220,7 +220,9 @@
             self._own.availability_zone,
             *settings.get('availability_zones', ()),
         }
-        self._zone_count = len(zones)
+        # Without an address for other hosts, this host is the only one.
+        self._is_alone = not peer_client.is_enabled
+        self._zone_count = 1 if self._is_alone else len(zones)
         self._reserve = bucket.Reserve(**settings.get('quota', {}))
         self._clock = clock
         self._monotonic = process_context.clock
@@ -228,7 +230,10 @@
         self._metrics = process_context.metrics
         self._journal = process_context.journal
         self._holders = holders.Holders(
-            self._own.host_id, self._own.availability_zone, clock()
+            self._own.host_id,
+            self._own.availability_zone,
+            clock(),
+            is_alone=self._is_alone,
         )
         self._messenger = _Messenger(
             process_context, peer_client, self._holders, clock
@@ -335,7 +340,7 @@
         tokens = self._allocations_by_name.get(account.name)
         if tokens is not None:
             now = self._clock()
-            tokens.set_role(self._holders.acting_since(account.name, now), now)
+            self._set_role(tokens, now)
             tokens.put_back(permit, now)
             self._metrics.increment('host.tokens_returned')
 
@@ -413,12 +418,23 @@
         if tokens is None:
             account = self._accounts_by_name[name]
             tokens = allocation.Allocation(
-                account, self._limit(account), self._askers
+                account,
+                self._limit(account),
+                self._askers,
+                is_alone=self._is_alone,
             )
             self._allocations_by_name[name] = tokens
-        tokens.set_role(self._holders.acting_since(name, now), now)
+        self._set_role(tokens, now)
         return tokens
 
+    def _set_role(self, tokens: allocation.Allocation, now: float) -> None:
+        name = tokens.account.name
+        tokens.set_role(
+            self._holders.acting_since(name, now),
+            now,
+            is_unsettled=self._holders.is_unsettled(name, now),
+        )
+
     def _limit(self, account: table.Account) -> bucket.Limit:
         return bucket.zone_limit(account, self._zone_count, self._reserve)
 
@@ -548,6 +564,8 @@
 
         The others take turns, so that no zone lends all the tokens.
         """
+        if self._is_alone:
+            return []
         name = tokens.account.name
         zones = self._holders.zones()
         if zones:
@@ -567,11 +585,12 @@
     async def _check_roles(self, now: float) -> None:
         """Start and end roles, and forget what is no longer needed."""
         for name in self._accounts_by_name:
-            if self._holders.acting_since(name, now) is not None:
+            is_holder = self._holders.acting_since(name, now) is not None
+            if is_holder or self._holders.is_unsettled(name, now):
                 # The bucket fills from now on.
                 self._allocation(name, now)
         for name, tokens in list(self._allocations_by_name.items()):
-            tokens.set_role(self._holders.acting_since(name, now), now)
+            self._set_role(tokens, now)
             tokens.loans.forget_requests(now - bucket.LOAN_S)
             if tokens.is_unused(now) and name not in self._done_by_name:
                 del self._allocations_by_name[name]
--- a/tests/test_quota_holders.py
+++ b/tests/test_quota_holders.py
@@ -57,6 +57,30 @@
         host.pass_time(0.5)
         self.assertIsNotNone(host.acting_since)
 
+    def test_only_host_keeps_its_roles(self):
+        """Guards against a host that waits for others that do not exist."""
+        alone = holders.Holders('h0', 'z1', 1000.0, is_alone=True)
+        begun_at = alone.acting_since(ACCOUNT, 1000.0)
+        self.assertIsNotNone(begun_at)
+        # A pause, and no confirmation.
+        self.assertEqual(
+            alone.acting_since(ACCOUNT, 1000.0 + 2 * QUARANTINE_S), begun_at
+        )
+        self.assertEqual(alone.role_count, 1)
+        alone.retain(())
+        self.assertEqual(alone.role_count, 0)
+
+    def test_first_host_is_unsettled_until_it_acts(self):
+        """Guards against a reserve beside the role, or at other hosts."""
+        host = Clock(FIRST)
+        self.assertTrue(host.holders.is_unsettled(ACCOUNT, host.now))
+        host.pass_time(QUARANTINE_S + 1)
+        self.assertFalse(host.holders.is_unsettled(ACCOUNT, host.now))
+        host.pass_time(holders.VIEW_AGE_S + 1, is_confirmed=False)
+        self.assertTrue(host.holders.is_unsettled(ACCOUNT, host.now))
+        other = Clock(SECOND)
+        self.assertFalse(other.holders.is_unsettled(ACCOUNT, other.now))
+
     def test_other_hosts_are_no_holders(self):
         """Guards against several holders in one zone."""
         for host_id in others_of(FIRST):
