Relay lists without the keys of client accounts

Cause: lists read from the store were relayed with the configuration as the store returned it. A turned-away host (wants_lists), or any subscriber after a new era, received the API keys of all accounts. Only the content of watches had digests.

Change: the content of lists has digests too, through the same function as that of watches. The items that are parsed at this host stay as they are.

--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -152,6 +152,11 @@
         """Parse the response to a watch."""
         document = jsonbody.parse_object(content, errors.ProtocolViolation)
         events = _list_field(document, 'events')
+        table = _newest_routes(events)
+        relayed_events = _without_keys(events)
+        if relayed_events is not events:
+            document = {**document, 'events': relayed_events}
+            content = json.dumps(document).encode()
         hosts = _parse_hosts(events)
         if any(
             self._own_key == f'{wire.HOSTS_PREFIX}{host.host_id}'
@@ -160,11 +165,11 @@
         ):
             self._record_vanished()
         return platformsource.Changes(
-            _newest_routes(events),
+            table,
             _parse_backends(events),
             hosts,
             _int_field(document, 'as_of'),
-            _without_keys(document, content),
+            content,
             _parse_evacuations(events),
         )
 
@@ -276,12 +281,15 @@
     items: list[dict[str, Any]], revision: int
 ) -> platformsource.Changes:
     """Return listed items as changes that lead to a revision."""
+    # Raises the typed error of a malformed configuration first.
+    table = _newest_routes(items)
+    document = {'events': _without_keys(items), 'as_of': revision}
     return platformsource.Changes(
-        _newest_routes(items),
+        table,
         _parse_backends(items),
         _parse_hosts(items),
         revision,
-        json.dumps({'events': items, 'as_of': revision}).encode(),
+        json.dumps(document).encode(),
         evacuations=_parse_evacuations(items),
     )
 
@@ -303,31 +311,35 @@
     """Return the newest routes in a list of events, None without any."""
     table = None
     for event in events:
-        is_configuration = event.get('key') == wire.CONFIGURATION_KEY
-        if is_configuration and not event.get('removed'):
+        if _is_configuration(event) and not event.get('removed'):
             table = documents.parse_routes(_decode_value(event))
     return table
 
 
-def _without_keys(document: dict[str, Any], content: bytes) -> bytes:
-    """Return the content of a watch without the keys of client accounts.
+def _without_keys(items: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return items or events without the keys of client accounts.
 
-    Other hosts get it. Without a configuration it is returned unchanged.
+    Other hosts get them. Without a configuration the argument is returned.
     """
-    configurations = [
-        event
-        for event in _list_field(document, 'events')
-        if event.get('key') == wire.CONFIGURATION_KEY
-    ]
-    if not configurations:
-        return content
-    for event in configurations:
-        if event.get('removed'):
-            event.pop('value', None)
-        else:
-            value = documents.replace_keys(_decode_value(event))
-            event['value'] = base64.b64encode(value).decode()
-    return json.dumps(document).encode()
+    if any(map(_is_configuration, items)):
+        return [
+            _replace_keys(item) if _is_configuration(item) else item
+            for item in items
+        ]
+    return items
+
+
+def _replace_keys(item: dict[str, Any]) -> dict[str, Any]:
+    """Return an item or event of the configuration without keys."""
+    kept = {name: item[name] for name in item.keys() - {'value'}}
+    if not item.get('removed'):
+        value = documents.replace_keys(_decode_value(item))
+        kept['value'] = base64.b64encode(value).decode()
+    return kept
+
+
+def _is_configuration(item: dict[str, Any]) -> bool:
+    return item.get('key') == wire.CONFIGURATION_KEY
 
 
 def _parse_backends(
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -11,6 +11,7 @@
 import logbook
 
 from cardamomflow import (
+    changefeed,
     delegatedparts,
     errors,
     hosting,
@@ -508,6 +509,39 @@
         for output in (*outputs, lines):
             self.assertNotIn(KEY, str(output))
 
+    def test_relayed_lists_contain_no_key(self):
+        """Guards against keys in the lists that turned-away hosts receive."""
+
+        async def scenario(world):
+            store_port = world.store_port
+            client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
+            # The first read may be stale and is completed by a watch.
+            lists = [await client.read(), await client.read()]
+            await client.close()
+            updates = world.parts.feed_links._history.since(
+                changefeed.Position(0, 0), wants_lists=True
+            )
+            relayed = [
+                changefeed.unpack(update.content)
+                for update in updates
+                if update.content
+            ]
+            return [*relayed, *(found.content for found in lists)]
+
+        contents = self.run_scenario(scenario)
+        self.assertGreater(len(contents), 2)
+        client = kvstore.KvStore('127.0.0.1', 1, 0.5)
+        for content in contents:
+            with self.subTest(content):
+                items = json.loads(content)['events']
+                values = [
+                    base64.b64decode(item.get('value', '')).decode()
+                    for item in items
+                ]
+                self.assertNotIn(KEY, ''.join(values))
+                accounts = client.parse(content).table.accounts
+                self.assertEqual(accounts.find(KEY).name, 'alpha')
+
     def test_owner_of_parts_queues_with_its_own_limits(self):
         """Guards against an owner that gives every account one weight."""
 
