Date a confirmation by the sending of the call

Cause: an answer of the store counted as confirmed when it was applied. A process that was stopped for 10 s, or whose answer was held up on the way, then took its configuration for new and refused a key that had been added meanwhile with 401.

Change: an answer with changes and lists confirm what was known when the call was made; an empty watch confirms up to the end of its wait, at most now. Subscribers and probes get the same time. So that a host in calm does not look old, a watch is shortened where its wait, the wait before and the pause between would make the knowledge older than 1.8 s (with subscribers) or 2.5 s.

--- a/cardamomflow/changefeed.py
+++ b/cardamomflow/changefeed.py
@@ -17,10 +17,10 @@
 
 from cardamomflow import avoidedmembers, errors, ownership, routing
 
-# Age of the feed after which a host watches the platform itself. The platform
-# confirms the data of a healthy relay at least every 1.1 s, and a subscriber
-# requests a heartbeat every `HEARTBEAT_INTERVAL_S`. The tightest bound for a
-# change to be in force is 3 s.
+# Age of the feed after which a host watches the platform itself. The knowledge
+# of a healthy relay is at most 1.8 s old (`discovery.RELAY_AGE_S`), and a
+# subscriber requests a heartbeat every `HEARTBEAT_INTERVAL_S`. The tightest
+# bound for a change to be in force is 3 s.
 MAX_AGE_S = 2.6
 # Time-out for the first update of a relay, which is sent without a wait.
 FIRST_UPDATE_TIMEOUT_S = 0.5
--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -30,6 +30,12 @@
 # Shorter with subscribers: the age of their feed is this wait plus the time to
 # relay the answer.
 RELAY_WAIT_S = 1.0
+# Age of the knowledge at the end of a watch. An answer with changes confirms
+# what was known when the call was made, so the next watch is shortened where
+# both waits and the pause between would add up to more. A subscriber requests
+# the age every 0.5 s and leaves its relay at 2.6 s.
+RELAY_AGE_S = 1.8
+WATCH_AGE_S = 2.5
 # Pause after changes, which collects further ones. Backend servers and hosts
 # start and stop in groups, and each watch is a billed call. Without the pause,
 # each host that starts causes a call by every other host. The pause is short
@@ -344,8 +350,9 @@
         """Apply the next changes; return the position reached."""
         if position is None:
             await curio.sleep(max(0, self._retry_at - self._clock()))
+            sent_at = self._clock()
             changes = await self._source.read()
-            return await self._apply_lists_of_store(changes, _START)
+            return await self._apply_lists_of_store(changes, _START, sent_at)
         update = None
         if not self._is_turned_away and not self._needs_lists:
             update = await self._peers.next_update(position)
@@ -370,9 +377,9 @@
             self._attempt = None
             if attempt.reads_lists:
                 return await self._apply_lists_of_store(
-                    attempt.changes(), position
+                    attempt.changes(), position, attempt.sent_at
                 )
-            return await self._apply_watched(attempt.changes(), position)
+            return await self._apply_watched(attempt, position)
         if update.content or self._peers.has_usual_relay:
             # The call has an outdated revision, or is needed no more.
             await self._cancel_attempt()
@@ -404,7 +411,9 @@
             late_at,
             call,
             self._peers.interrupt,
+            self._clock,
             reads_lists=self._needs_lists,
+            wait_s=wait_s,
         )
         await attempt.start(pause_s)
         return attempt
@@ -415,7 +424,10 @@
             await attempt.cancel()
 
     async def _apply_lists_of_store(
-        self, changes: platformsource.Changes, position: changefeed.Position
+        self,
+        changes: platformsource.Changes,
+        position: changefeed.Position,
+        sent_at: float,
     ) -> changefeed.Position:
         """Apply and relay lists of the store; return the position reached."""
         reached = _reached(changes, position)
@@ -423,14 +435,15 @@
         await self.view.apply_lists(changes, position)
         self._needs_lists = False
         self._is_behind = False
-        await self._apply_from_store(changes)
+        await self._apply_from_store(changes, sent_at)
         await self._publish_from_store(reached, reached, changes.content)
         return reached
 
     async def _apply_watched(
-        self, changes: platformsource.Changes, position: changefeed.Position
+        self, attempt: storewatch.Attempt, position: changefeed.Position
     ) -> changefeed.Position:
         """Apply and relay changes of the store; return the position reached."""
+        changes = attempt.changes()
         reached = _reached(changes, position)
         if position.era < reached.era:
             # The first era that is seen counts too: what came before may
@@ -441,8 +454,10 @@
         self._hold_after_outage()
         if _count_changes(changes) < LARGE_BATCH:
             self._is_behind = False
-        await self._apply_from_store(changes)
         changed = reached.revision != position.revision
+        await self._apply_from_store(
+            changes, attempt.confirmed_at(has_changes=changed)
+        )
         await self._publish_from_store(
             position._replace(era=reached.era),
             reached,
@@ -453,8 +468,10 @@
             await curio.sleep(self._batching_s())
         return reached
 
-    async def _apply_from_store(self, changes: platformsource.Changes) -> None:
-        """Apply an answer of the store."""
+    async def _apply_from_store(
+        self, changes: platformsource.Changes, confirmed_at: float
+    ) -> None:
+        """Apply an answer of the store, with all changes up to a time."""
         await self.view.apply(changes)
         self._log_applied(changes, None)
         self._calls.record_success('store')
@@ -463,7 +480,7 @@
         self._fed_failures = 0
         self._peers.on_platform_regained()
         if not self._is_behind:
-            self._confirmed_at = self._clock()
+            self._confirmed_at = confirmed_at
 
     async def _publish_from_store(
         self,
@@ -540,9 +557,12 @@
             # A short watch shows soon whether a failed store has recovered, and
             # confirms what came from a relay that failed.
             return PROBE_WAIT_S
+        age_s = self._clock() - self._confirmed_at
         if self._peers.has_subscribers:
-            return RELAY_WAIT_S
-        return WATCH_WAIT_S
+            usual_s, remaining_s = RELAY_WAIT_S, RELAY_AGE_S - age_s
+        else:
+            usual_s, remaining_s = WATCH_WAIT_S, WATCH_AGE_S - age_s
+        return min(usual_s, max(PROBE_WAIT_S, remaining_s))
 
 
 def _reached(
--- a/cardamomflow/storewatch.py
+++ b/cardamomflow/storewatch.py
@@ -1,7 +1,8 @@
 """A watch of the platform that runs beside the feed of other hosts.
 
-Owns the task of one call. Its outcome is kept until it is asked for, because
-updates of other hosts may be applied before.
+Owns the task of one call, and the time that its answer confirms. Its outcome is
+kept until it is asked for, because updates of other hosts may be applied
+before.
 """
 
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,8 @@
 
     Attributes
     ----------
+    sent_at : float
+        When the call was made; infinite before.
     late_at : float
         When other hosts are asked because the platform has not answered.
     outcome : platformsource.Changes or errors.FlowError or None
@@ -31,14 +34,20 @@
         late_at: float,
         call: Call,
         on_end: Callable[[], Awaitable[None]],
+        clock: Callable[[], float],
         *,
         reads_lists: bool = False,
+        wait_s: float = 0,
     ) -> None:
+        """Prepare a call; `wait_s` is how long the platform may wait."""
         self.reads_lists = reads_lists
+        self.sent_at = float('inf')
         self.late_at = late_at
         self.outcome: platformsource.Changes | errors.FlowError | None = None
         self._call = call
         self._on_end = on_end
+        self._clock = clock
+        self._wait_s = wait_s
         self._task: curio.Task | None = None
 
     async def start(self, pause_s: float) -> None:
@@ -62,8 +71,21 @@
             raise self.outcome or errors.PlatformUnavailable('no answer yet')
         return self.outcome
 
+    def confirmed_at(self, *, has_changes: bool) -> float:
+        """Return up to when the platform's answer holds all changes.
+
+        The answer may have waited on the way or in a socket buffer, so the
+        time of its arrival says nothing. The platform sends an answer without
+        changes after its wait, and one with changes at an unknown time after
+        the call.
+        """
+        if has_changes:
+            return self.sent_at
+        return min(self._clock(), self.sent_at + self._wait_s)
+
     async def _run(self, pause_s: float) -> None:
         await curio.sleep(pause_s)
+        self.sent_at = self._clock()
         try:
             self.outcome = await self._call()
         except errors.FlowError as error:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -17,8 +17,10 @@
     ownership,
     platformsource,
 )
+from cardamomflow.accounts import authentication
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import kvstore
+from cardamomflow.quotas import holders
 from standins import users
 from tests import loops
 
@@ -83,6 +85,7 @@
 
     def __init__(self):
         self.usable = 0
+        self.confirmed_at = None
 
     async def on_routes_changed(self, table):
         raise NotImplementedError
@@ -91,7 +94,7 @@
         self.usable += sum(change.usable for change in changes)
 
     def on_platform_confirmed(self, confirmed_at):
-        return None
+        self.confirmed_at = confirmed_at
 
     async def on_hosts_counted(self, hosts):
         return None
@@ -181,10 +184,6 @@
         self.assertEqual(subscriber_peers.published, relay_peers.published)
 
 
-if __name__ == '__main__':
-    unittest.main()
-
-
 class StartTest(unittest.TestCase):
     """Load pattern: all hosts of a fleet start, and list themselves one by one.
 
@@ -232,3 +231,145 @@
         self.assertGreater(
             self.count_calls(discovery.STARTING_S + 1, span_s), 2
         )
+
+
+class TimedSource(Source):
+    """Answers calls in virtual time.
+
+    Attributes
+    ----------
+    changes_after_s : float
+        When the next change comes after a call; infinite without changes.
+    held_up_s : float
+        How long answers wait on the way or in a socket buffer.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.changes_after_s = float('inf')
+        self.held_up_s = 0.0
+        self.calls = 0
+
+    async def read(self):
+        return await self.watch(100, 0)
+
+    async def watch(self, revision, wait_s):
+        self.calls += 1
+        has_changes = self.changes_after_s <= wait_s
+        self.now += min(wait_s, self.changes_after_s) + self.held_up_s
+        changes = int(has_changes)
+        return self.parse(page(revision + 1, changes=changes))
+
+    def clock(self):
+        return self.now
+
+
+class ConfirmationTest(unittest.TestCase):
+    """The age of what a host knows, in virtual time."""
+
+    def setUp(self):
+        self.source = TimedSource()
+        self.listener = Listener()
+
+    def apply(self, peers, calls=1):
+        """Apply answers; return the age before each and after the last."""
+        process_context = context.create(
+            users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+        )._replace(clock=self.source.clock)
+        follower = discovery.Follower(
+            self.source,
+            directory.Directory(),
+            self.listener,
+            peers,
+            process_context,
+        )
+        follower._started_at -= discovery.STARTING_S
+        follower._confirmed_at = self.source.now
+        ages = []
+
+        async def scenario():
+            position = changefeed.Position(0, 100)
+            while len(ages) < calls:
+                before = self.listener.confirmed_at or self.source.now
+                position = await follower._apply_next(position)
+                ages.append(self.source.now - before)
+                self.source.now += discovery.CHANGE_BATCHING_S
+            self.source.now -= discovery.CHANGE_BATCHING_S
+
+        with mock.patch.object(follower, '_batching_s', return_value=0):
+            loops.run(scenario)
+        return ages
+
+    def test_answer_without_changes_counts_up_to_the_end_of_its_wait(self):
+        """Guards against a 401 for a new key after a process was stopped.
+
+        The answer waited in a socket buffer for 10 s meanwhile.
+        """
+        self.source.held_up_s = 10.0
+        for peers, wait_s in (
+            (Peers(), discovery.RELAY_WAIT_S),
+            (LonePeers(), discovery.WATCH_WAIT_S),
+        ):
+            with self.subTest(wait_s=wait_s):
+                expected = self.source.now + wait_s
+                self.apply(peers)
+                self.assertAlmostEqual(self.listener.confirmed_at, expected)
+                # Subscribers and probes get the same age.
+                (update,) = peers.published
+                self.assertAlmostEqual(update.confirmed_at, expected)
+
+    def test_answer_with_changes_counts_from_its_call(self):
+        """Guards against an answer that was held up and counts as new."""
+        self.source.held_up_s = 10.0
+        self.source.changes_after_s = 0.0
+        sent_at = self.source.now
+        peers = Peers()
+        self.apply(peers)
+        self.assertAlmostEqual(self.listener.confirmed_at, sent_at)
+        self.assertAlmostEqual(peers.published[0].confirmed_at, sent_at)
+
+    def test_lists_count_from_their_call(self):
+        """Guards against lists that were held up and count as new."""
+        self.source.held_up_s = 10.0
+        sent_at = self.source.now
+        follower_peers = Peers()
+        process_context = context.create(
+            users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+        )._replace(clock=self.source.clock)
+        follower = discovery.Follower(
+            self.source,
+            directory.Directory(),
+            self.listener,
+            follower_peers,
+            process_context,
+        )
+        loops.run(lambda: follower._apply_next(None))
+        self.assertAlmostEqual(self.listener.confirmed_at, sent_at)
+
+    def test_host_in_calm_does_not_look_old(self):
+        """Guards against subscribers that leave a healthy relay.
+
+        Changes come at any time of a wait, so an answer may confirm what was
+        known one wait ago.
+        """
+        for tenths in range(1, 25):
+            for peers, most_s in (
+                (Peers(), discovery.RELAY_AGE_S),
+                (LonePeers(), discovery.WATCH_AGE_S),
+            ):
+                with self.subTest(changes_after_s=tenths / 10, most_s=most_s):
+                    self.setUp()
+                    self.source.changes_after_s = tenths / 10
+                    ages = self.apply(peers, calls=20)
+                    self.assertLessEqual(max(ages), most_s + 0.001)
+        self.assertLess(
+            discovery.RELAY_AGE_S + changefeed.HEARTBEAT_INTERVAL_S,
+            changefeed.MAX_AGE_S,
+        )
+        self.assertLess(discovery.WATCH_AGE_S, authentication.MAX_AGE_S)
+        self.assertLess(discovery.WATCH_AGE_S, holders.MAX_GAP_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
