Give every failed call to the store an outcome

Cause: an attempt caught typed errors only. An answer such as {"events":[1],"as_of":1} raised AttributeError, the task ended without an outcome, and the host never watched again.

Change: any exception becomes an outcome, without its text, and ends the wait for it. Lists of the store whose items are no objects, and pages without a last key, raise ProtocolViolation.

--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -258,7 +258,7 @@
         page = _list_field(document, 'items')
         items = list(page)
         while document.get('has_more') and page:
-            last = page[-1]['key']
+            last = channel.require_field(page[-1], 'key', str)
             reply = await self._get(
                 'kv-range', prefix=prefix, after=last, **options
             )
@@ -400,4 +400,10 @@
 
 
 def _list_field(document: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    return channel.require_field(document, name, list)
+    """Return a field that must be a list of objects."""
+    found = channel.require_field(document, name, list)
+    if not all(isinstance(item, dict) for item in found):
+        raise errors.ProtocolViolation(
+            f'the field {name} of the platform has items that are no objects'
+        )
+    return found
--- a/cardamomflow/storewatch.py
+++ b/cardamomflow/storewatch.py
@@ -90,4 +90,10 @@
             self.outcome = await self._call()
         except errors.FlowError as error:
             self.outcome = error
+        except Exception as error:
+            # Without an outcome the host would never call again. The message
+            # has only the type, as an answer may contain keys of accounts.
+            self.outcome = errors.PlatformUnavailable(
+                f'the call failed with {type(error).__name__}'
+            )
         await self._on_end()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,9 +13,11 @@
     context,
     directory,
     discovery,
+    errors,
     frames,
     ownership,
     platformsource,
+    storewatch,
 )
 from cardamomflow.accounts import authentication
 from cardamomflow.generated import wire_pb2
@@ -371,5 +373,56 @@
         self.assertLess(discovery.WATCH_AGE_S, holders.MAX_GAP_S)
 
 
+class FailedCallTest(unittest.TestCase):
+    def test_unexpected_exception_ends_the_attempt(self):
+        """Guards against a host that never watches again."""
+        ended = []
+
+        async def call():
+            raise AttributeError
+
+        async def end():
+            ended.append(True)
+
+        async def scenario():
+            attempt = storewatch.Attempt(0, call, end, float)
+            await attempt.start(0)
+            await loops.until(lambda: ended)
+            return attempt.changes()
+
+        with self.assertRaises(errors.PlatformUnavailable):
+            loops.run(scenario)
+
+    def test_malformed_events_have_a_typed_error(self):
+        """Guards against answers that end the loop that watches."""
+        client = kvstore.KvStore('127.0.0.1', 1)
+        for events in (
+            [1],
+            [None],
+            [[]],
+            {},
+            None,
+            ['servers/a'],
+            [{'key': 'servers/a'}],
+            [{'key': 'hosts/a'}, 1],
+            [{'key': 'op/config'}],
+            [{'key': 'op/config', 'value': 'AAAA'}],
+            [{'key': 'op/config', 'value': 'W10='}],
+            [{'key': 'op/config', 'value': 1}],
+        ):
+            content = json.dumps({'events': events, 'as_of': 1}).encode()
+            with self.subTest(content), self.assertRaises(errors.FlowError):
+                client.parse(content)
+
+    def test_odd_keys_are_ignored(self):
+        """Guards against entries of other writers that end the watch."""
+        client = kvstore.KvStore('127.0.0.1', 1)
+        for key in (None, 1, ['servers/a'], {'hosts/': 1}, 'servers', ''):
+            events = [{'key': key, 'value': 1, 'revision': 'x'}, {}]
+            content = json.dumps({'events': events, 'as_of': 1}).encode()
+            with self.subTest(key):
+                self.assertEqual(client.parse(content).revision, 1)
+
+
 if __name__ == '__main__':
     unittest.main()
