Try a recovered store again beside frequent updates

Cause: each content update from another host cancelled the call of a turned-away host and put the next one off by 0.7 s. With updates less than 0.7 s apart the host never called the store again.

Change: a call that was not sent yet starts again from the new position at the planned time. A watch that was sent goes on; if other hosts sent changes meanwhile, its answer is not applied, but it shows that the store answers, and the host watches it again from its new position. Reads of lists are still cancelled, with the pause. The facts of a call are grouped in storewatch.Plan.

--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -370,25 +370,42 @@
         if self._attempt is None:
             self._attempt = await self._start_attempt(position)
         attempt = self._attempt
-        update = await self._peers.next_substitute(position, attempt.late_at)
+        update = await self._peers.next_substitute(
+            position, attempt.plan.late_at
+        )
         if update is None:
             if attempt.outcome is None:
                 return position
             self._attempt = None
-            if attempt.reads_lists:
+            if attempt.plan.reads_lists:
                 return await self._apply_lists_of_store(
                     attempt.changes(), position, attempt.sent_at
                 )
             return await self._apply_watched(attempt, position)
-        if update.content or self._peers.has_usual_relay:
-            # The call has an outdated revision, or is needed no more.
-            await self._cancel_attempt()
-            self._retry_at = self._clock() + FED_RETRY_MINIMUM_S
+        await self._revise_attempt(attempt, update)
         self._is_turned_away = not self._peers.has_usual_relay
         if not self._is_turned_away:
             self._peers.on_platform_regained()
         return await self._apply_update(update, position)
 
+    async def _revise_attempt(
+        self, attempt: storewatch.Attempt, update: changefeed.Update
+    ) -> None:
+        """Cancel a call that an update makes useless.
+
+        A watch that was sent goes on: its answer shows that the store has
+        recovered. Frequent updates must not put off the next call for ever.
+        """
+        if self._peers.has_usual_relay:
+            await self._cancel_attempt()
+            self._retry_at = self._clock() + FED_RETRY_MINIMUM_S
+        elif update.content and not attempt.is_sent:
+            # It starts again from the new position, at the same time.
+            await self._cancel_attempt()
+        elif update.content and attempt.plan.reads_lists:
+            await self._cancel_attempt()
+            self._retry_at = self._clock() + FED_RETRY_MINIMUM_S
+
     async def _start_attempt(
         self, position: changefeed.Position
     ) -> storewatch.Attempt:
@@ -408,12 +425,10 @@
         if expects_answer:
             late_at = now + pause_s + wait_s + LATE_ANSWER_S
         attempt = storewatch.Attempt(
-            late_at,
+            storewatch.Plan(position, late_at, wait_s, self._needs_lists),
             call,
             self._peers.interrupt,
             self._clock,
-            reads_lists=self._needs_lists,
-            wait_s=wait_s,
         )
         await attempt.start(pause_s)
         return attempt
@@ -444,6 +459,10 @@
     ) -> changefeed.Position:
         """Apply and relay changes of the store; return the position reached."""
         changes = attempt.changes()
+        if attempt.plan.position != position:
+            # Other hosts sent changes meanwhile, which this answer may lack.
+            self._record_answer()
+            return position
         reached = _reached(changes, position)
         if position.era < reached.era:
             # The first era that is seen counts too: what came before may
@@ -474,13 +493,17 @@
         """Apply an answer of the store, with all changes up to a time."""
         await self.view.apply(changes)
         self._log_applied(changes, None)
+        self._has_relayed = False
+        self._record_answer()
+        if not self._is_behind:
+            self._confirmed_at = confirmed_at
+
+    def _record_answer(self) -> None:
+        """Record that the store answers the calls of this host."""
         self._calls.record_success('store')
         self._is_turned_away = False
-        self._has_relayed = False
         self._fed_failures = 0
         self._peers.on_platform_regained()
-        if not self._is_behind:
-            self._confirmed_at = confirmed_at
 
     async def _publish_from_store(
         self,
--- a/cardamomflow/storewatch.py
+++ b/cardamomflow/storewatch.py
@@ -5,51 +5,70 @@
 before.
 """
 
+import math
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import curio
 
-from cardamomflow import errors, platformsource
+from cardamomflow import changefeed, errors, platformsource
 
 Call = Callable[[], Awaitable[platformsource.Changes]]
 
 
+class Plan(NamedTuple):
+    """What one call to the platform is for.
+
+    Attributes
+    ----------
+    position : changefeed.Position
+        What the host has read.
+    late_at : float
+        When other hosts are asked because the platform has not answered.
+    wait_s : float
+        How long the platform may wait for changes.
+    reads_lists : bool
+        Whether the call reads all entries.
+    """
+
+    position: changefeed.Position
+    late_at: float
+    wait_s: float = 0
+    reads_lists: bool = False
+
+
 class Attempt:
     """One call to the platform.
 
     Attributes
     ----------
+    plan : Plan
     sent_at : float
         When the call was made; infinite before.
-    late_at : float
-        When other hosts are asked because the platform has not answered.
     outcome : platformsource.Changes or errors.FlowError or None
         None while the call is in progress.
-    reads_lists : bool
-        Whether the call reads all entries.
     """
 
     def __init__(
         self,
-        late_at: float,
+        plan: Plan,
         call: Call,
         on_end: Callable[[], Awaitable[None]],
         clock: Callable[[], float],
-        *,
-        reads_lists: bool = False,
-        wait_s: float = 0,
     ) -> None:
-        """Prepare a call; `wait_s` is how long the platform may wait."""
-        self.reads_lists = reads_lists
-        self.sent_at = float('inf')
-        self.late_at = late_at
+        self.plan = plan
+        self.sent_at = math.inf
         self.outcome: platformsource.Changes | errors.FlowError | None = None
         self._call = call
         self._on_end = on_end
         self._clock = clock
-        self._wait_s = wait_s
         self._task: curio.Task | None = None
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the pause before the call has ended."""
+        return math.isfinite(self.sent_at)
+
     async def start(self, pause_s: float) -> None:
         """Make the call after a pause in seconds."""
         self._task = await curio.spawn(self._run, pause_s, daemon=True)
@@ -81,7 +100,7 @@
         """
         if has_changes:
             return self.sent_at
-        return min(self._clock(), self.sent_at + self._wait_s)
+        return min(self._clock(), self.sent_at + self.plan.wait_s)
 
     async def _run(self, pause_s: float) -> None:
         await curio.sleep(pause_s)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -385,7 +385,9 @@
             ended.append(True)
 
         async def scenario():
-            attempt = storewatch.Attempt(0, call, end, float)
+            attempt = storewatch.Attempt(
+                storewatch.Plan(changefeed.Position(0, 1), 0), call, end, float
+            )
             await attempt.start(0)
             await loops.until(lambda: ended)
             return attempt.changes()
@@ -424,5 +426,89 @@
                 self.assertEqual(client.parse(content).revision, 1)
 
 
+# Time between two changes from another host.
+FEED_INTERVAL_S = 0.02
+
+
+class FeedingPeers(Peers):
+    """Another host that sends many changes."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_regained = False
+
+    async def next_substitute(self, position, search_at):
+        async with curio.ignore_after(FEED_INTERVAL_S):
+            await self._interrupted.wait()
+            self._interrupted.clear()
+            return None
+        content = page(position.revision + 1, changes=1)
+        return changefeed.Update(
+            position.revision,
+            position.revision + 1,
+            changefeed.pack(content),
+            0,
+            0,
+        )
+
+    def on_platform_lost(self, outage_until):
+        return None
+
+    def on_platform_regained(self):
+        self.is_regained = True
+
+
+class FrequentUpdatesTest(unittest.TestCase):
+    """A turned-away host that gets many changes from another host."""
+
+    def follow_until_regained(self, peers, source, pause_s):
+        """Apply updates until the store answers; return the position."""
+        follower = discovery.Follower(
+            source,
+            directory.Directory(),
+            Listener(),
+            peers,
+            context.create(
+                users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+            ),
+        )
+        follower._is_turned_away = True
+        follower._retry_at = follower._clock() + pause_s
+
+        async def scenario():
+            position = changefeed.Position(0, 100)
+            async with curio.timeout_after(10):
+                while not peers.is_regained:
+                    position = await follower._apply_next(position)
+            return position
+
+        return loops.run(scenario)
+
+    def test_store_is_tried_again(self):
+        """Guards against a host that follows others after the recovery."""
+        pause_s = 10 * FEED_INTERVAL_S
+        position = self.follow_until_regained(FeedingPeers(), Source(), pause_s)
+        self.assertGreater(position.revision, 100)
+
+    def test_slow_answer_shows_the_recovery(self):
+        """Guards against calls that are cancelled before their answer.
+
+        The answer lacks the changes that came meanwhile, so it must not be
+        applied.
+        """
+        source = Source()
+        revisions = []
+
+        async def watch(revision, wait_s):
+            await curio.sleep(10 * FEED_INTERVAL_S)
+            revisions.append(revision)
+            return source.parse(page(revision + 1, changes=1))
+
+        with mock.patch.object(source, 'watch', watch):
+            position = self.follow_until_regained(FeedingPeers(), source, 0)
+        self.assertEqual(len(revisions), 1)
+        self.assertGreater(position.revision, revisions[0] + 1)
+
+
 if __name__ == '__main__':
     unittest.main()
