Clear the interruption of a call that is cancelled

Cause: a call could end while it was cancelled, and FeedLinks kept the interruption. The next call was then taken for ended at once, the host went to wait for its relay, and the answer was applied much later.

Change: the cancellation clears the interruption, and the relay is not waited for while a call is in progress.

--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -121,6 +121,10 @@
     async def interrupt(self) -> None:
         """Make `next_substitute` return None."""
 
+    @abc.abstractmethod
+    def clear_interruption(self) -> None:
+        """Ignore an `interrupt` that `next_substitute` has not seen yet."""
+
     @property
     @abc.abstractmethod
     def is_preferred_relay(self) -> bool:
@@ -354,7 +358,8 @@
             changes = await self._source.read()
             return await self._apply_lists_of_store(changes, _START, sent_at)
         update = None
-        if not self._is_turned_away and not self._needs_lists:
+        watches_itself = self._is_turned_away or self._needs_lists
+        if self._attempt is None and not watches_itself:
             update = await self._peers.next_update(position)
         if update is None:
             return await self._apply_first(position)
@@ -437,6 +442,8 @@
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             await attempt.cancel()
+            # The call may have ended while it was cancelled.
+            self._peers.clear_interruption()
 
     async def _apply_lists_of_store(
         self,
--- a/cardamomflow/feedlinks.py
+++ b/cardamomflow/feedlinks.py
@@ -124,6 +124,10 @@
         self._is_interrupted = True
         await self._update_received.set()
 
+    def clear_interruption(self) -> None:
+        """Ignore an `interrupt` that `next_substitute` has not seen yet."""
+        self._is_interrupted = False
+
     @property
     def is_preferred_relay(self) -> bool:
         """Whether no other reachable host of the group outranks this one."""
--- a/tests/test_feedlinks.py
+++ b/tests/test_feedlinks.py
@@ -1,7 +1,10 @@
 """Tests the change feed over simulated links, in virtual time."""
 
+import json
 import unittest
 
+import curio
+
 from cardamomflow import changefeed, context, feedlinks
 from standins import users
 from tests import loops, test_ownership
@@ -129,26 +132,31 @@
         """Confirm the data of the relay, with a new revision if `changed`."""
         before = self.revision
         self.revision += changed
+        content = json.dumps({'events': [], 'as_of': self.revision}).encode()
         await self.relay.publish(
             changefeed.Update(
                 before,
                 self.revision,
-                changefeed.pack(b'{}') if changed else b'',
+                changefeed.pack(content) if changed else b'',
                 self.clock.now,
                 0,
             )
         )
 
     async def step(self, number):
+        """Advance the clock, and apply what arrives."""
+        await self.advance(number)
+        await self._follow()
+
+    async def advance(self, number, *, changed=False):
         """Advance the clock by `STEP_S`, send what is due, and deliver."""
         self.clock.now += STEP_S
-        if number % 10 == 0:
-            await self.publish()
+        if changed or number % 10 == 0:
+            await self.publish(changed=changed)
         if number % 5 == 0:
             for feed in self.network.feeds_by_id.values():
                 await feed.renew()
         await self.network.deliver()
-        await self._follow()
 
     def position(self):
         return changefeed.Position(0, self.applied_revision)
@@ -244,6 +252,20 @@
         loops.run(scenario)
         self.assertFalse(world.relay.has_subscribers)
 
+    def test_cleared_interruption_ends_no_wait(self):
+        """Guards against a call that is taken for ended at once."""
+        world = FeedWorld()
+
+        async def scenario():
+            feed = world.subscriber
+            await feed.interrupt()
+            feed.clear_interruption()
+            async with curio.ignore_after(STEP_S) as waiting:
+                await feed.next_substitute(world.position(), float('inf'))
+            return waiting.expired
+
+        self.assertTrue(loops.run(scenario))
+
     def test_expired_subscriber_gets_missed_updates(self):
         """Guards against a host whose renewals fail after a pause."""
         world = FeedWorld()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -129,6 +129,9 @@
     async def interrupt(self):
         await self._interrupted.set()
 
+    def clear_interruption(self):
+        self._interrupted.clear()
+
     async def publish(self, update):
         self.published.append(update)
 
@@ -510,5 +513,80 @@
         self.assertGreater(position.revision, revisions[0] + 1)
 
 
+class LatePeers(Peers):
+    """A relay whose heartbeat comes just as the call to the store ends."""
+
+    def __init__(self):
+        super().__init__()
+        self.feed_waits = 0
+
+    @property
+    def has_usual_relay(self):
+        return True
+
+    @property
+    def is_interrupted(self):
+        return self._interrupted.is_set()
+
+    async def next_update(self, position):
+        self.feed_waits += 1
+
+    async def next_substitute(self, position, search_at):
+        await self._interrupted.wait()
+        return changefeed.Update(
+            position.revision, position.revision, b'', 0, 0
+        )
+
+
+class EarlyPeers(LatePeers):
+    """Ends the first wait before the call to the store has ended."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits = 0
+
+    async def next_substitute(self, position, search_at):
+        self.waits += 1
+        if self.waits > 1:
+            await self._interrupted.wait()
+
+
+class InterruptionTest(unittest.TestCase):
+    """Calls that end while an update of another host is applied."""
+
+    def apply_next(self, peers, calls=1):
+        """Apply what comes next; return the position reached."""
+        follower = discovery.Follower(
+            Source(),
+            directory.Directory(),
+            Listener(),
+            peers,
+            context.create(
+                users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+            ),
+        )
+
+        async def scenario():
+            position = changefeed.Position(0, 100)
+            for _ in range(calls):
+                position = await follower._apply_next(position)
+            return position
+
+        return loops.run(scenario)
+
+    def test_cancelled_call_leaves_no_interruption(self):
+        """Guards against a later call that is taken for ended at once."""
+        peers = LatePeers()
+        self.apply_next(peers)
+        self.assertFalse(peers.is_interrupted)
+
+    def test_relay_is_not_waited_for_during_a_call(self):
+        """Guards against an answer that is applied long after it came."""
+        peers = EarlyPeers()
+        position = self.apply_next(peers, calls=2)
+        self.assertEqual(peers.feed_waits, 1)
+        self.assertGreater(position.revision, 100)
+
+
 if __name__ == '__main__':
     unittest.main()
