Ask other hosts after a 410 and refused lists

Cause: the first host by rank that has to read lists expected an answer of the store at each new call. Each failed call put the search for another host off again, so it followed nobody until the store recovered.

Change: a host that the store turns away expects no answer of it, also when it has to read lists.

--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -425,8 +425,9 @@
             call = self._source.read
         late_at = max(now, self._known_at + SEARCH_AGE_S)
         expects_answer = not self._is_turned_away
-        if self._needs_lists:
-            expects_answer = self._peers.is_preferred_relay
+        if self._needs_lists and not self._peers.is_preferred_relay:
+            # Usually another host has read the lists before.
+            expects_answer = False
         if expects_answer:
             late_at = now + pause_s + wait_s + LATE_ANSWER_S
         attempt = storewatch.Attempt(
--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -161,6 +161,21 @@
             with self.subTest(**fault):
                 self.check_change_is_in_force(choose, fault)
 
+    def test_host_without_history_learns_changes(self):
+        """Guards against a host that asks no other after a 410."""
+
+        async def scenario(world):
+            refused_id = world.ranked_ids[0]
+            parts = world.hosts_by_id[refused_id]
+            world.turn_away([refused_id], status=410)
+            await loops.until(lambda: parts.follower._needs_lists, limit_s=5)
+            world.turn_away([refused_id], status=503)
+            world.publish(2, '/search/')
+            await world.until_in_force(2)
+            return True
+
+        self.assertTrue(play(scenario))
+
     def test_removed_backend_server_is_dropped(self):
         """Guards against requests to servers that stopped long ago.
 
