--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -30,6 +30,12 @@
 # Shorter with subscribers: the age of their feed is this wait plus the time to
 # relay the answer.
 RELAY_WAIT_S = 1.0
+# Age of the knowledge at the end of a watch. An answer with changes confirms
+# what was known when the call was made, so the next watch is shortened where
+# both waits and the pause between would add up to more. A subscriber requests
+# the age every 0.5 s and leaves its relay at 2.6 s.
+RELAY_AGE_S = 1.8
+WATCH_AGE_S = 2.5
 # Pause after changes, which collects further ones. Backend servers and hosts
 # start and stop in groups, and each watch is a billed call. Without the pause,
 # each host that starts causes a call by every other host. The pause is short
@@ -115,6 +121,10 @@
     async def interrupt(self) -> None:
         """Make `next_substitute` return None."""
 
+    @abc.abstractmethod
+    def clear_interruption(self) -> None:
+        """Ignore an `interrupt` that `next_substitute` has not seen yet."""
+
     @property
     @abc.abstractmethod
     def is_preferred_relay(self) -> bool:
@@ -344,10 +354,12 @@
         """Apply the next changes; return the position reached."""
         if position is None:
             await curio.sleep(max(0, self._retry_at - self._clock()))
+            sent_at = self._clock()
             changes = await self._source.read()
-            return await self._apply_lists_of_store(changes, _START)
+            return await self._apply_lists_of_store(changes, _START, sent_at)
         update = None
-        if not self._is_turned_away and not self._needs_lists:
+        watches_itself = self._is_turned_away or self._needs_lists
+        if self._attempt is None and not watches_itself:
             update = await self._peers.next_update(position)
         if update is None:
             return await self._apply_first(position)
@@ -363,25 +375,42 @@
         if self._attempt is None:
             self._attempt = await self._start_attempt(position)
         attempt = self._attempt
-        update = await self._peers.next_substitute(position, attempt.late_at)
+        update = await self._peers.next_substitute(
+            position, attempt.plan.late_at
+        )
         if update is None:
             if attempt.outcome is None:
                 return position
             self._attempt = None
-            if attempt.reads_lists:
+            if attempt.plan.reads_lists:
                 return await self._apply_lists_of_store(
-                    attempt.changes(), position
+                    attempt.changes(), position, attempt.sent_at
                 )
-            return await self._apply_watched(attempt.changes(), position)
-        if update.content or self._peers.has_usual_relay:
-            # The call has an outdated revision, or is needed no more.
-            await self._cancel_attempt()
-            self._retry_at = self._clock() + FED_RETRY_MINIMUM_S
+            return await self._apply_watched(attempt, position)
+        await self._revise_attempt(attempt, update)
         self._is_turned_away = not self._peers.has_usual_relay
         if not self._is_turned_away:
             self._peers.on_platform_regained()
         return await self._apply_update(update, position)
 
+    async def _revise_attempt(
+        self, attempt: storewatch.Attempt, update: changefeed.Update
+    ) -> None:
+        """Cancel a call that an update makes useless.
+
+        A watch that was sent goes on: its answer shows that the store has
+        recovered. Frequent updates must not put off the next call for ever.
+        """
+        if self._peers.has_usual_relay:
+            await self._cancel_attempt()
+            self._retry_at = self._clock() + FED_RETRY_MINIMUM_S
+        elif update.content and not attempt.is_sent:
+            # It starts again from the new position, at the same time.
+            await self._cancel_attempt()
+        elif update.content and attempt.plan.reads_lists:
+            await self._cancel_attempt()
+            self._retry_at = self._clock() + FED_RETRY_MINIMUM_S
+
     async def _start_attempt(
         self, position: changefeed.Position
     ) -> storewatch.Attempt:
@@ -396,15 +425,16 @@
             call = self._source.read
         late_at = max(now, self._known_at + SEARCH_AGE_S)
         expects_answer = not self._is_turned_away
-        if self._needs_lists:
-            expects_answer = self._peers.is_preferred_relay
+        if self._needs_lists and not self._peers.is_preferred_relay:
+            # Usually another host has read the lists before.
+            expects_answer = False
         if expects_answer:
             late_at = now + pause_s + wait_s + LATE_ANSWER_S
         attempt = storewatch.Attempt(
-            late_at,
+            storewatch.Plan(position, late_at, wait_s, self._needs_lists),
             call,
             self._peers.interrupt,
-            reads_lists=self._needs_lists,
+            self._clock,
         )
         await attempt.start(pause_s)
         return attempt
@@ -413,9 +443,14 @@
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             await attempt.cancel()
+            # The call may have ended while it was cancelled.
+            self._peers.clear_interruption()
 
     async def _apply_lists_of_store(
-        self, changes: platformsource.Changes, position: changefeed.Position
+        self,
+        changes: platformsource.Changes,
+        position: changefeed.Position,
+        sent_at: float,
     ) -> changefeed.Position:
         """Apply and relay lists of the store; return the position reached."""
         reached = _reached(changes, position)
@@ -423,14 +458,19 @@
         await self.view.apply_lists(changes, position)
         self._needs_lists = False
         self._is_behind = False
-        await self._apply_from_store(changes)
+        await self._apply_from_store(changes, sent_at)
         await self._publish_from_store(reached, reached, changes.content)
         return reached
 
     async def _apply_watched(
-        self, changes: platformsource.Changes, position: changefeed.Position
+        self, attempt: storewatch.Attempt, position: changefeed.Position
     ) -> changefeed.Position:
         """Apply and relay changes of the store; return the position reached."""
+        changes = attempt.changes()
+        if attempt.plan.position != position:
+            # Other hosts sent changes meanwhile, which this answer may lack.
+            self._record_answer()
+            return position
         reached = _reached(changes, position)
         if position.era < reached.era:
             # The first era that is seen counts too: what came before may
@@ -441,8 +481,10 @@
         self._hold_after_outage()
         if _count_changes(changes) < LARGE_BATCH:
             self._is_behind = False
-        await self._apply_from_store(changes)
         changed = reached.revision != position.revision
+        await self._apply_from_store(
+            changes, attempt.confirmed_at(has_changes=changed)
+        )
         await self._publish_from_store(
             position._replace(era=reached.era),
             reached,
@@ -453,17 +495,23 @@
             await curio.sleep(self._batching_s())
         return reached
 
-    async def _apply_from_store(self, changes: platformsource.Changes) -> None:
-        """Apply an answer of the store."""
+    async def _apply_from_store(
+        self, changes: platformsource.Changes, confirmed_at: float
+    ) -> None:
+        """Apply an answer of the store, with all changes up to a time."""
         await self.view.apply(changes)
         self._log_applied(changes, None)
+        self._has_relayed = False
+        self._record_answer()
+        if not self._is_behind:
+            self._confirmed_at = confirmed_at
+
+    def _record_answer(self) -> None:
+        """Record that the store answers the calls of this host."""
         self._calls.record_success('store')
         self._is_turned_away = False
-        self._has_relayed = False
         self._fed_failures = 0
         self._peers.on_platform_regained()
-        if not self._is_behind:
-            self._confirmed_at = self._clock()
 
     async def _publish_from_store(
         self,
@@ -540,9 +588,12 @@
             # A short watch shows soon whether a failed store has recovered, and
             # confirms what came from a relay that failed.
             return PROBE_WAIT_S
+        age_s = self._clock() - self._confirmed_at
         if self._peers.has_subscribers:
-            return RELAY_WAIT_S
-        return WATCH_WAIT_S
+            usual_s, remaining_s = RELAY_WAIT_S, RELAY_AGE_S - age_s
+        else:
+            usual_s, remaining_s = WATCH_WAIT_S, WATCH_AGE_S - age_s
+        return min(usual_s, max(PROBE_WAIT_S, remaining_s))
 
 
 def _reached(
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,12 +13,16 @@
     context,
     directory,
     discovery,
+    errors,
     frames,
     ownership,
     platformsource,
+    storewatch,
 )
+from cardamomflow.accounts import authentication
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import kvstore
+from cardamomflow.quotas import holders
 from standins import users
 from tests import loops
 
@@ -83,6 +87,7 @@
 
     def __init__(self):
         self.usable = 0
+        self.confirmed_at = None
 
     async def on_routes_changed(self, table):
         raise NotImplementedError
@@ -91,7 +96,7 @@
         self.usable += sum(change.usable for change in changes)
 
     def on_platform_confirmed(self, confirmed_at):
-        return None
+        self.confirmed_at = confirmed_at
 
     async def on_hosts_counted(self, hosts):
         return None
@@ -124,6 +129,9 @@
     async def interrupt(self):
         await self._interrupted.set()
 
+    def clear_interruption(self):
+        self._interrupted.clear()
+
     async def publish(self, update):
         self.published.append(update)
 
@@ -181,10 +189,6 @@
         self.assertEqual(subscriber_peers.published, relay_peers.published)
 
 
-if __name__ == '__main__':
-    unittest.main()
-
-
 class StartTest(unittest.TestCase):
     """Load pattern: all hosts of a fleet start, and list themselves one by one.
 
@@ -232,3 +236,357 @@
         self.assertGreater(
             self.count_calls(discovery.STARTING_S + 1, span_s), 2
         )
+
+
+class TimedSource(Source):
+    """Answers calls in virtual time.
+
+    Attributes
+    ----------
+    changes_after_s : float
+        When the next change comes after a call; infinite without changes.
+    held_up_s : float
+        How long answers wait on the way or in a socket buffer.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.changes_after_s = float('inf')
+        self.held_up_s = 0.0
+        self.calls = 0
+
+    async def read(self):
+        return await self.watch(100, 0)
+
+    async def watch(self, revision, wait_s):
+        self.calls += 1
+        has_changes = self.changes_after_s <= wait_s
+        self.now += min(wait_s, self.changes_after_s) + self.held_up_s
+        changes = int(has_changes)
+        return self.parse(page(revision + 1, changes=changes))
+
+    def clock(self):
+        return self.now
+
+
+class ConfirmationTest(unittest.TestCase):
+    """The age of what a host knows, in virtual time."""
+
+    def setUp(self):
+        self.source = TimedSource()
+        self.listener = Listener()
+
+    def apply(self, peers, calls=1):
+        """Apply answers; return the age before each and after the last."""
+        process_context = context.create(
+            users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+        )._replace(clock=self.source.clock)
+        follower = discovery.Follower(
+            self.source,
+            directory.Directory(),
+            self.listener,
+            peers,
+            process_context,
+        )
+        follower._started_at -= discovery.STARTING_S
+        follower._confirmed_at = self.source.now
+        ages = []
+
+        async def scenario():
+            position = changefeed.Position(0, 100)
+            while len(ages) < calls:
+                before = self.listener.confirmed_at or self.source.now
+                position = await follower._apply_next(position)
+                ages.append(self.source.now - before)
+                self.source.now += discovery.CHANGE_BATCHING_S
+            self.source.now -= discovery.CHANGE_BATCHING_S
+
+        with mock.patch.object(follower, '_batching_s', return_value=0):
+            loops.run(scenario)
+        return ages
+
+    def test_answer_without_changes_counts_up_to_the_end_of_its_wait(self):
+        """Guards against a 401 for a new key after a process was stopped.
+
+        The answer waited in a socket buffer for 10 s meanwhile.
+        """
+        self.source.held_up_s = 10.0
+        for peers, wait_s in (
+            (Peers(), discovery.RELAY_WAIT_S),
+            (LonePeers(), discovery.WATCH_WAIT_S),
+        ):
+            with self.subTest(wait_s=wait_s):
+                expected = self.source.now + wait_s
+                self.apply(peers)
+                self.assertAlmostEqual(self.listener.confirmed_at, expected)
+                # Subscribers and probes get the same age.
+                (update,) = peers.published
+                self.assertAlmostEqual(update.confirmed_at, expected)
+
+    def test_answer_with_changes_counts_from_its_call(self):
+        """Guards against an answer that was held up and counts as new."""
+        self.source.held_up_s = 10.0
+        self.source.changes_after_s = 0.0
+        sent_at = self.source.now
+        peers = Peers()
+        self.apply(peers)
+        self.assertAlmostEqual(self.listener.confirmed_at, sent_at)
+        self.assertAlmostEqual(peers.published[0].confirmed_at, sent_at)
+
+    def test_lists_count_from_their_call(self):
+        """Guards against lists that were held up and count as new."""
+        self.source.held_up_s = 10.0
+        sent_at = self.source.now
+        follower_peers = Peers()
+        process_context = context.create(
+            users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+        )._replace(clock=self.source.clock)
+        follower = discovery.Follower(
+            self.source,
+            directory.Directory(),
+            self.listener,
+            follower_peers,
+            process_context,
+        )
+        loops.run(lambda: follower._apply_next(None))
+        self.assertAlmostEqual(self.listener.confirmed_at, sent_at)
+
+    def test_host_in_calm_does_not_look_old(self):
+        """Guards against subscribers that leave a healthy relay.
+
+        Changes come at any time of a wait, so an answer may confirm what was
+        known one wait ago.
+        """
+        for tenths in range(1, 25):
+            for peers, most_s in (
+                (Peers(), discovery.RELAY_AGE_S),
+                (LonePeers(), discovery.WATCH_AGE_S),
+            ):
+                with self.subTest(changes_after_s=tenths / 10, most_s=most_s):
+                    self.setUp()
+                    self.source.changes_after_s = tenths / 10
+                    ages = self.apply(peers, calls=20)
+                    self.assertLessEqual(max(ages), most_s + 0.001)
+        self.assertLess(
+            discovery.RELAY_AGE_S + changefeed.HEARTBEAT_INTERVAL_S,
+            changefeed.MAX_AGE_S,
+        )
+        self.assertLess(discovery.WATCH_AGE_S, authentication.MAX_AGE_S)
+        self.assertLess(discovery.WATCH_AGE_S, holders.MAX_GAP_S)
+
+
+class FailedCallTest(unittest.TestCase):
+    def test_unexpected_exception_ends_the_attempt(self):
+        """Guards against a host that never watches again."""
+        ended = []
+
+        async def call():
+            raise AttributeError
+
+        async def end():
+            ended.append(True)
+
+        async def scenario():
+            attempt = storewatch.Attempt(
+                storewatch.Plan(changefeed.Position(0, 1), 0), call, end, float
+            )
+            await attempt.start(0)
+            await loops.until(lambda: ended)
+            return attempt.changes()
+
+        with self.assertRaises(errors.PlatformUnavailable):
+            loops.run(scenario)
+
+    def test_malformed_events_have_a_typed_error(self):
+        """Guards against answers that end the loop that watches."""
+        client = kvstore.KvStore('127.0.0.1', 1)
+        for events in (
+            [1],
+            [None],
+            [[]],
+            {},
+            None,
+            ['servers/a'],
+            [{'key': 'servers/a'}],
+            [{'key': 'hosts/a'}, 1],
+            [{'key': 'op/config'}],
+            [{'key': 'op/config', 'value': 'AAAA'}],
+            [{'key': 'op/config', 'value': 'W10='}],
+            [{'key': 'op/config', 'value': 1}],
+        ):
+            content = json.dumps({'events': events, 'as_of': 1}).encode()
+            with self.subTest(content), self.assertRaises(errors.FlowError):
+                client.parse(content)
+
+    def test_odd_keys_are_ignored(self):
+        """Guards against entries of other writers that end the watch."""
+        client = kvstore.KvStore('127.0.0.1', 1)
+        for key in (None, 1, ['servers/a'], {'hosts/': 1}, 'servers', ''):
+            events = [{'key': key, 'value': 1, 'revision': 'x'}, {}]
+            content = json.dumps({'events': events, 'as_of': 1}).encode()
+            with self.subTest(key):
+                self.assertEqual(client.parse(content).revision, 1)
+
+
+# Time between two changes from another host.
+FEED_INTERVAL_S = 0.02
+
+
+class FeedingPeers(Peers):
+    """Another host that sends many changes."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_regained = False
+
+    async def next_substitute(self, position, search_at):
+        async with curio.ignore_after(FEED_INTERVAL_S):
+            await self._interrupted.wait()
+            self._interrupted.clear()
+            return None
+        content = page(position.revision + 1, changes=1)
+        return changefeed.Update(
+            position.revision,
+            position.revision + 1,
+            changefeed.pack(content),
+            0,
+            0,
+        )
+
+    def on_platform_lost(self, outage_until):
+        return None
+
+    def on_platform_regained(self):
+        self.is_regained = True
+
+
+class FrequentUpdatesTest(unittest.TestCase):
+    """A turned-away host that gets many changes from another host."""
+
+    def follow_until_regained(self, peers, source, pause_s):
+        """Apply updates until the store answers; return the position."""
+        follower = discovery.Follower(
+            source,
+            directory.Directory(),
+            Listener(),
+            peers,
+            context.create(
+                users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+            ),
+        )
+        follower._is_turned_away = True
+        follower._retry_at = follower._clock() + pause_s
+
+        async def scenario():
+            position = changefeed.Position(0, 100)
+            async with curio.timeout_after(10):
+                while not peers.is_regained:
+                    position = await follower._apply_next(position)
+            return position
+
+        return loops.run(scenario)
+
+    def test_store_is_tried_again(self):
+        """Guards against a host that follows others after the recovery."""
+        pause_s = 10 * FEED_INTERVAL_S
+        position = self.follow_until_regained(FeedingPeers(), Source(), pause_s)
+        self.assertGreater(position.revision, 100)
+
+    def test_slow_answer_shows_the_recovery(self):
+        """Guards against calls that are cancelled before their answer.
+
+        The answer lacks the changes that came meanwhile, so it must not be
+        applied.
+        """
+        source = Source()
+        revisions = []
+
+        async def watch(revision, wait_s):
+            await curio.sleep(10 * FEED_INTERVAL_S)
+            revisions.append(revision)
+            return source.parse(page(revision + 1, changes=1))
+
+        with mock.patch.object(source, 'watch', watch):
+            position = self.follow_until_regained(FeedingPeers(), source, 0)
+        self.assertEqual(len(revisions), 1)
+        self.assertGreater(position.revision, revisions[0] + 1)
+
+
+class LatePeers(Peers):
+    """A relay whose heartbeat comes just as the call to the store ends."""
+
+    def __init__(self):
+        super().__init__()
+        self.feed_waits = 0
+
+    @property
+    def has_usual_relay(self):
+        return True
+
+    @property
+    def is_interrupted(self):
+        return self._interrupted.is_set()
+
+    async def next_update(self, position):
+        self.feed_waits += 1
+
+    async def next_substitute(self, position, search_at):
+        await self._interrupted.wait()
+        return changefeed.Update(
+            position.revision, position.revision, b'', 0, 0
+        )
+
+
+class EarlyPeers(LatePeers):
+    """Ends the first wait before the call to the store has ended."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits = 0
+
+    async def next_substitute(self, position, search_at):
+        self.waits += 1
+        if self.waits > 1:
+            await self._interrupted.wait()
+
+
+class InterruptionTest(unittest.TestCase):
+    """Calls that end while an update of another host is applied."""
+
+    def apply_next(self, peers, calls=1):
+        """Apply what comes next; return the position reached."""
+        follower = discovery.Follower(
+            Source(),
+            directory.Directory(),
+            Listener(),
+            peers,
+            context.create(
+                users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+            ),
+        )
+
+        async def scenario():
+            position = changefeed.Position(0, 100)
+            for _ in range(calls):
+                position = await follower._apply_next(position)
+            return position
+
+        return loops.run(scenario)
+
+    def test_cancelled_call_leaves_no_interruption(self):
+        """Guards against a later call that is taken for ended at once."""
+        peers = LatePeers()
+        self.apply_next(peers)
+        self.assertFalse(peers.is_interrupted)
+
+    def test_relay_is_not_waited_for_during_a_call(self):
+        """Guards against an answer that is applied long after it came."""
+        peers = EarlyPeers()
+        position = self.apply_next(peers, calls=2)
+        self.assertEqual(peers.feed_waits, 1)
+        self.assertGreater(position.revision, 100)
+
+
+if __name__ == '__main__':
+    unittest.main()
