Add lab traces with single replicas that pause

The traces had four servers of each service in a zone and no pauses, so they did not show that work waits at a single replica. The new ones have 8 hosts in 4 zones and 20 shards with a replica in two zones; a pause also delays work that runs.

--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -28,6 +28,8 @@
         Factors of the time for work, by backend server in turn.
     pause_s, pause_every_s : float
         Length of a pause, and the time between two; 0 for none.
+    holds_running : bool
+        Whether a pause delays work that runs, not only work that starts.
     """
 
     name: str
@@ -39,6 +41,7 @@
     speeds: tuple[float, ...] = (1.0,)
     pause_s: float = 0
     pause_every_s: float = 0
+    holds_running: bool = False
 
 
 class Kind(NamedTuple):
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -52,7 +52,7 @@
 class Call:
     """One request at a backend server."""
 
-    __slots__ = ('kind', 'respond', 'is_cancelled', 'is_running')
+    __slots__ = ('kind', 'respond', 'is_cancelled', 'is_running', 'held_s')
 
     def __init__(
         self,
@@ -63,6 +63,8 @@
         self.respond = respond
         self.is_cancelled = False
         self.is_running = False
+        # Time in seconds by which pauses have delayed the end of the work.
+        self.held_s: float = 0
 
 
 class BackendServer:
@@ -87,6 +89,7 @@
         self._random = random.Random(f'{seed}/{backend_id}')
         self._waiting: collections.deque[Call] = collections.deque()
         self._in_use = 0
+        self._running: set[Call] = set()
         self._loads: collections.deque[tuple[float, requeststate.Load]] = (
             collections.deque()
         )
@@ -149,18 +152,23 @@
         """Come back empty and cold."""
         self.faults = Faults()
         self._waiting.clear()
+        self._running.clear()
         self._in_use = 0
         self._cold_from = self._clock.now
 
     def _pause(self) -> None:
         now = self._clock.now
         self._paused_until = now + self.service.pause_s
+        if self.service.holds_running:
+            for call in self._running:
+                call.held_s += self.service.pause_s
         self._clock.after(self.service.pause_every_s, self._pause)
 
     def _start(self, call: Call, connection_s: float) -> None:
         self._in_use += 1
         self.runs += 1
         call.is_running = True
+        self._running.add(call)
         waits_s = max(0, self._paused_until - self._clock.now)
         self._clock.after(
             waits_s + connection_s + self._work_s(call.kind),
@@ -181,12 +189,18 @@
         return COLD_FACTOR if is_cold else 1
 
     def _finish(self, call: Call) -> None:
-        if call.is_running:
-            self._free(call)
-            self._answer(call, _OK)
+        if not call.is_running:
+            return
+        if call.held_s:
+            self._clock.after(call.held_s, self._finish, call)
+            call.held_s = 0
+            return
+        self._free(call)
+        self._answer(call, _OK)
 
     def _free(self, call: Call) -> None:
         call.is_running = False
+        self._running.discard(call)
         self._in_use = max(0, self._in_use - 1)
         while self._waiting and self._in_use < self.service.slots:
             following = self._waiting.popleft()
--- a/lab/zonetraces.py
+++ b/lab/zonetraces.py
@@ -44,6 +44,19 @@
 # Bulk work that can wait at home for nearly as long as the trouble lasts.
 PATIENT_BULK = BulkTimes(0.16, 1.5, 6.0)
 PATIENT_END_S = 12.0
+# Zones, shards and load of the traces with few replicas. No zone has two
+# replicas of a shard, and each server pauses at times of its own.
+FEW_REPLICAS_ZONES = ('a', 'b', 'c', 'd')
+SHARDS = 20
+PAUSE_S = 0.12
+PAUSE_EVERY_S = 3.0
+BURST_FACTOR = 1.7
+# Part of the servers that are slow during the burst, and by how much.
+SLOW_SHARE = 0.15
+SLOW_SERVER_FACTOR = 4.0
+_SEARCHES_PER_S = 53.0
+_CHECKS_PER_S = 18.5
+_STATEMENTS_PER_S = 20.0
 
 
 class Run(NamedTuple):
@@ -73,6 +86,8 @@
     largest_load : dict of str to float
         Largest mean of used and wanted slots of a zone over a second, as a part
         of its slots.
+    in_target_by_kind : dict of str to float
+        Share of the requests of a kind answered within their target.
     """
 
     in_target: dict[tuple[str, str], float]
@@ -80,6 +95,7 @@
     calls: dict[tuple[str, str], int]
     shares: dict[str, list[tuple[float, float]]]
     largest_load: dict[str, float]
+    in_target_by_kind: dict[str, float]
 
     @property
     def urgent(self) -> float:
@@ -147,10 +163,103 @@
     )
 
 
+def few_replicas() -> deployments.Deployment:
+    """Return 8 hosts in 4 zones, with shards that two zones have once each.
+
+    The work that is not split has one backend server in each zone.
+    """
+    zones = FEW_REPLICAS_ZONES
+    shards = tuple(
+        deployments.Service(
+            f'shard-{number}',
+            (zones[number % len(zones)], zones[(number + 1) % len(zones)]),
+            pause_s=PAUSE_S,
+            pause_every_s=PAUSE_EVERY_S,
+            holds_running=True,
+        )
+        for number in range(SHARDS)
+    )
+    statements = deployments.Service(
+        'statements',
+        zones,
+        connections=110,
+        connection_s=0.001,
+        pause_s=PAUSE_S,
+        pause_every_s=PAUSE_EVERY_S,
+        holds_running=True,
+    )
+    search = deployments.Kind(
+        'search',
+        _STANDARD,
+        _SEARCHES_PER_S,
+        tuple(shard.name for shard in shards),
+        gathers=True,
+        minimum_share=0.89,
+        work_s=0.0165,
+        spread=0.35,
+        tail_share=0.01,
+        tail_factor=5,
+        target_s=0.118,
+        deadline_s=1.5,
+        repeatable=True,
+        worth=1,
+        late_worth=0.1,
+    )
+    check = search._replace(
+        name=URGENT_KIND,
+        rank=_URGENT,
+        rate=_CHECKS_PER_S,
+        minimum_share=0.75,
+        work_s=0.0057,
+        target_s=0.056,
+        deadline_s=0.8,
+    )
+    statement = search._replace(
+        name='statement',
+        rank=_BULK,
+        rate=_STATEMENTS_PER_S,
+        services=(statements.name,),
+        gathers=False,
+        minimum_share=1.0,
+        work_s=0.135,
+        spread=0.5,
+        tail_share=0,
+        target_s=0.944,
+        deadline_s=6.0,
+        repeatable=False,
+    )
+    return deployments.Deployment(
+        'few_replicas',
+        tuple(zone for zone in zones for _ in range(2)),
+        (*shards, statements),
+        (check, search, statement),
+    )
+
+
 def calm(world: worlds.World) -> None:
     """Change nothing."""
 
 
+def pauses(world: worlds.World) -> None:
+    """Single replicas that pause, at the usual demand."""
+
+
+def pauses_burst(world: worlds.World) -> None:
+    """Single replicas that pause, a burst of demand, and slow servers."""
+    zones = FEW_REPLICAS_ZONES
+    slow_ids = world.random.sample(
+        list(world.servers_by_id), round(SLOW_SHARE * len(world.servers_by_id))
+    )
+    world.clock.after(
+        BEGIN_S, lambda: world.change(slow_ids, factor=SLOW_SERVER_FACTOR)
+    )
+    world.clock.after(END_S, lambda: world.change(slow_ids, factor=1.0))
+    burst = dict.fromkeys(zones, BURST_FACTOR)
+    world.clock.after(BEGIN_S, world.demand_by_zone.update, burst)
+    usual = dict.fromkeys(zones, 1.0)
+    world.clock.after(END_S, world.demand_by_zone.update, usual)
+
+
 def half_lost(world: worlds.World) -> None:
     """A zone loses half of its backend servers."""
     _lose(world, 'a', SERVERS_PER_ZONE // 2)
@@ -232,8 +341,11 @@
         all_full,
         half_lost_late,
         half_lost_false,
+        pauses,
+        pauses_burst,
     )
 }
+FEW_REPLICAS_TRACES = (pauses.__name__, pauses_burst.__name__)
 
 
 def run_all(wanted: Iterable[Run]) -> list[ZoneOutcome]:
@@ -265,8 +377,8 @@
     length_s : float
         A shorter run may end before the trouble does.
     """
-    bulk = PATIENT_BULK if name == half_lost_patient.__name__ else USUAL_BULK
-    world = worlds.World(deployment(hosts_per_zone, bulk), seed, decisions)
+    world = worlds.World(_deployment_of(name, hosts_per_zone), seed, decisions)
+    zones = sorted(set(world.deployment.hosts))
     TRACES_BY_NAME[name](world)
     shares: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
     loads: dict[str, list[float]] = collections.defaultdict(list)
@@ -281,7 +393,7 @@
             (zone, kind): figures.in_target_by_zone[zone]
             / max(1, figures.offered_by_zone[zone])
             for kind, figures in world.figures_by_kind.items()
-            for zone in ZONES
+            for zone in zones
         },
         {
             kind: figures.ended['answered'] / max(1, figures.offered)
@@ -290,9 +402,20 @@
         dict(calls),
         dict(shares),
         {zone: _largest_mean(found) for zone, found in loads.items()},
+        {
+            kind: figures.in_target / max(1, figures.offered)
+            for kind, figures in world.figures_by_kind.items()
+        },
     )
 
 
+def _deployment_of(name: str, hosts_per_zone: int) -> deployments.Deployment:
+    if name in FEW_REPLICAS_TRACES:
+        return few_replicas()
+    bulk = PATIENT_BULK if name == half_lost_patient.__name__ else USUAL_BULK
+    return deployment(hosts_per_zone, bulk)
+
+
 def _sample(
     world: worlds.World, note: Callable[[], None], length_s: float
 ) -> None:
@@ -306,7 +429,7 @@
     shares: dict[str, list[tuple[float, float]]],
     loads: dict[str, list[float]],
 ) -> None:
-    for zone in ZONES:
+    for zone in sorted(set(world.deployment.hosts)):
         found = [
             share
             for policy in world.policies_by_zone.get(zone, ())
