Count needless calls of refused hosts strictly

Cause: test_host_with_a_usual_relay_makes_no_calls had been loosened to one window of 2 s without calls in five, because a busy machine can delay a relay, and a call is then right.

Change: a test in virtual time with the real follower and feed allows no call at all over 1,000 steps with a usual relay, and fails if a call is not cancelled when the relay is found. The test over sockets allows no call that began and was made while the host had its usual relay.

--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -6,9 +6,21 @@
 
 import curio
 
-from cardamomflow import changefeed, discovery
+from cardamomflow import (
+    changefeed,
+    context,
+    directory,
+    discovery,
+    errors,
+)
 from standins import users
-from tests import hostworld, loops, test_peering
+from tests import (
+    hostworld,
+    loops,
+    test_feedlinks,
+    test_following,
+    test_peering,
+)
 
 # Time within which a change is in force, and the part of it that tests leave
 # to busy machines.
@@ -116,6 +128,111 @@
         return hostworld.run_scenario(scenario, TurnedAwayWorld)
 
 
+class CallCauses:
+    """Counts the watches of one host that a usual relay makes needless.
+
+    A host that loses its relay for a moment, as on a busy machine, may call
+    the store. It must not begin to while it has a relay.
+
+    Attributes
+    ----------
+    needless_calls : int
+        Watches that began and were made while the host had its usual relay.
+    """
+
+    def __init__(self, parts):
+        self.needless_calls = 0
+        self._peers = parts.feed_links
+        self._source = parts.follower._source
+        self._start_attempt = parts.follower._start_attempt
+        self._watch = self._source.watch
+        self._had_relay = False
+        parts.follower._start_attempt = self.start_attempt
+        self._source.watch = self.watch
+
+    async def start_attempt(self, position):
+        self._had_relay = self._peers.has_usual_relay
+        return await self._start_attempt(position)
+
+    async def watch(self, revision, wait_s):
+        if self._had_relay and self._peers.has_usual_relay:
+            self.needless_calls += 1
+        return await self._watch(revision, wait_s)
+
+
+class RefusingSource(test_following.Source):
+    """Refuses all calls, and counts them."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls = 0
+
+    async def watch(self, revision, wait_s):
+        self.calls += 1
+        raise errors.PlatformUnavailable('refused')
+
+
+class RefusedHostTest(unittest.TestCase):
+    """A refused host with a served relay, over links in virtual time."""
+
+    def follow(self, steps):
+        """Return the calls until the host has its relay, and all calls."""
+        world = test_feedlinks.FeedWorld()
+        source = RefusingSource()
+        follower = discovery.Follower(
+            source,
+            directory.Directory(),
+            test_following.Listener(),
+            world.subscriber,
+            context.create(
+                users.host_settings('h9', 'z1', 1, log={'level': 'error'})
+            )._replace(clock=world.clock),
+        )
+        follower._is_turned_away = True
+        calls_before = []
+
+        async def follow():
+            position = changefeed.Position(0, world.revision)
+            while True:
+                try:
+                    position = await follower._apply_next(position)
+                except errors.FlowError:
+                    follower._record_failed_call()
+
+        async def scenario():
+            await world.publish()
+            # What the host read itself before the store refused it.
+            await world.subscriber.publish(
+                changefeed.Update(
+                    world.revision, world.revision, b'', world.clock.now - 2, 0
+                )
+            )
+            task = await curio.spawn(follow)
+            for number in range(steps):
+                await world.advance(number, changed=number % 7 == 0)
+                await curio.sleep(0)
+                if not (calls_before or follower._is_turned_away):
+                    calls_before.append(source.calls)
+            await task.cancel()
+            await follower._cancel_attempt()
+
+        # Without pauses, which would take real time.
+        with mock.patch.object(follower, '_retry_pause_s', return_value=0):
+            loops.run(scenario)
+        self.assertEqual(world.subscriber.relay, world.relay_id)
+        self.assertEqual(world.subscriber._position.revision, world.revision)
+        self.assertTrue(calls_before)
+        return calls_before[0], source.calls
+
+    def test_host_with_a_usual_relay_makes_no_calls(self):
+        """Guards against calls of refused hosts that need none.
+
+        The host follows its relay for 1,000 steps of 0.1 s.
+        """
+        before, total = self.follow(1000)
+        self.assertEqual(total, before)
+
+
 FAULTS = (
     {'status': 503},
     {'status': 429},
@@ -225,17 +342,14 @@
                 ),
                 limit_s=10,
             )
-            # The second host may be subscribed to the first for a moment more.
-            counts = []
-            for _ in range(5):
-                watches = world.watch_count(refused_ids)
-                await curio.sleep(2)
-                counts.append(world.watch_count(refused_ids) - watches)
-            return counts
-
-        counts = play(scenario)
-        self.assertIn(0, counts)
-        self.assertLessEqual(sum(map(bool, counts)), 2)
+            calls = [
+                CallCauses(world.hosts_by_id[host_id])
+                for host_id in refused_ids
+            ]
+            await curio.sleep(5)
+            return [found.needless_calls for found in calls]
+
+        self.assertEqual(set(play(scenario)), {0})
 
     def test_outage_for_all_hosts_causes_few_messages(self):
         """Guards against a storm of calls and messages in an outage."""
