Correct when owners change in an evacuation

The list is applied with every change, also an empty one, so owners and links change with the key itself. Without this, a count of hosts that is lowered after a delay and owners of started services would wait for a change of the list.

A test fixes that owners are computed again with the key, after the zone has become evacuated; it passes without a change of the code.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -7,16 +7,22 @@
 import curio
 
 from cardamomflow import (
+    context,
     directory,
     links,
+    platformsource,
+    platformview,
     reachability,
     zonewatch,
 )
 from cardamomflow.platform import wire
+from standins import users
 from tests import (
     hostworld,
     loops,
     test_dispatching,
+    test_following,
+    test_ownership,
     test_peering,
     test_turned_away,
 )
@@ -150,6 +156,45 @@
         )
 
 
+class OwnersListener(test_following.Listener):
+    """Records the hosts, and the zones that are evacuated meanwhile."""
+
+    def __init__(self, backend_directory):
+        super().__init__()
+        self.listed = []
+        self._directory = backend_directory
+
+    async def on_members_listed(self, members):
+        host_ids = [member.host_id for member in members]
+        self.listed.append((host_ids, set(self._directory.evacuated_zones)))
+
+
+class OwnersTest(unittest.TestCase):
+    def test_owners_are_computed_again_with_the_key(self):
+        """Guards against owners in a zone without backend servers.
+
+        The key is the only change; no entry of a host changes.
+        """
+        process_context = context.create(
+            users.host_settings('h1', 'z1', 1, log={'level': 'error'})
+        )
+        backend_directory = directory.Directory()
+        listener = OwnersListener(backend_directory)
+        view = platformview.PlatformView(
+            'h1', backend_directory, listener, process_context
+        )
+        view.members_by_id['h2'] = test_ownership.member('h2')
+        changes = platformsource.Changes(
+            None,
+            [],
+            [],
+            revision=2,
+            evacuations=[platformsource.Evacuation('z2', is_requested=True)],
+        )
+        loops.run(lambda: view.apply(changes))
+        self.assertEqual(listener.listed, [(['h2'], {'z2'})])
+
+
 class UnreachableTransport:
     """A transport whose connections fail; records them."""
 
