--- a/tools/suite.py
+++ b/tools/suite.py
@@ -33,6 +33,8 @@
 LONG_MODULES = (
     'tests.test_fault_pairs',
     *MODULES_SPLIT_BY_CLASS,
+    'tests.test_turned_away',
+    'tests.test_zonetraces',
     'tests.test_path',
 )
 # These tests check the memory of processes beside many connections. They run
