--- a/cardamomflow/quotas/bucket.py
+++ b/cardamomflow/quotas/bucket.py
@@ -19,8 +19,6 @@
 # Share of the allowed overage that becomes capacity when the burst is small.
 # The rest is for rounding and for the time between admission and sending.
 USED_RESERVE_SHARE = 0.8
-# Share of the slack that becomes capacity.
-SLACK_CAPACITY_SHARE = 0.5
 # Share of the capacity that loans take up at the full rate. With 0.9, a zone
 # that borrowed the burst of the others at once was refused 17 % of its demand
 # for a second, as full loans stop the refill; with 0.6, nothing.
@@ -105,12 +103,8 @@
         * reserve.window_s
         * account.rate_per_s,
     )
-    # Tokens in other zones and in loans are not at hand when a host asks. Half
-    # of the slack makes up for them: without it, callers within their limits
-    # were refused on played days. A zone needs one token at least, or no
-    # request would ever be admitted.
-    total += SLACK_CAPACITY_SHARE * reserve.slack
-    capacity = max(total / zones, 1.0)
+    # A zone needs one token at least, or no request would ever be admitted.
+    capacity = max(total / zones, reserve.slack / (2 * zones), 1.0)
     rate_per_s = account.rate_per_s / zones
     return Limit(
         rate_per_s,
