Call one piece of code for the boot time and for a link to a peer

Found by reading the whole change once more; behavior stays the same.

- hosting read CLOCK_BOOTTIME in a function of its own beside quotas.service's; it calls that one now.
A test patches the function at its new place; its assertions are unchanged.
- AggregatorLinks.post repeated the first lines of send; both call _use_link.
- AccountTable took keys beside digests, which nothing passes since the table is made of digests.

Measured: tests.test_accounts, test_aggregatorlinks and test_quota_hosts pass.

--- a/cardamomflow/accounts/table.py
+++ b/cardamomflow/accounts/table.py
@@ -57,7 +57,6 @@
     def __init__(
         self,
         accounts: Iterable[Account] = (),
-        accounts_by_key: Mapping[str, Account] | None = None,
         problems: Iterable[str] = (),
         accounts_by_digest: Mapping[bytes, Account] | None = None,
     ) -> None:
@@ -66,19 +65,15 @@
         Parameters
         ----------
         accounts : iterable of Account
-        accounts_by_key : mapping of str to Account, optional
-            API keys, each with its only holder.
         problems : iterable of str, optional
         accounts_by_digest : mapping of bytes to Account, optional
-            Digests of further keys.
+            Digests of API keys, each with its only holder.
         """
         self.accounts_by_name = {account.name: account for account in accounts}
         self.problems = tuple(problems)
         self._accounts_by_digest = dict(accounts_by_digest or {})
         # Keys that were found before, which saves the time of their digest.
         self._accounts_by_used_key: dict[str, Account] = {}
-        for key, account in (accounts_by_key or {}).items():
-            self._accounts_by_digest[digest(key)] = account
 
     def __bool__(self) -> bool:
         """Return whether requests need an API key.
--- a/cardamomflow/aggregatorlinks.py
+++ b/cardamomflow/aggregatorlinks.py
@@ -278,10 +278,7 @@
         errors.ConnectFailed
             Nothing was sent.
         """
-        link = self.link_to(aggregator_id)
-        if link is None:
-            raise errors.ConnectFailed(f'no link to {aggregator_id}')
-        self._peers_by_id[aggregator_id].used_at = self._clock()
+        link = self._use_link(aggregator_id)
         message = getattr(envelope, envelope.WhichOneof('body'))
         self._handlers_by_link[link][message.attempt_id] = handler
         try:
@@ -302,11 +299,15 @@
         errors.ConnectFailed
             Nothing was sent.
         """
+        await self._use_link(aggregator_id).post(envelope)
+
+    def _use_link(self, aggregator_id: str) -> WireLink:
+        """Return the open link to a peer, and record its use."""
         link = self.link_to(aggregator_id)
         if link is None:
             raise errors.ConnectFailed(f'no link to {aggregator_id}')
         self._peers_by_id[aggregator_id].used_at = self._clock()
-        await link.post(envelope)
+        return link
 
     def remove_handler(self, link: WireLink, attempt_id: int) -> None:
         """Unregister the handler of an attempt; its answer is ignored."""
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -7,7 +7,6 @@
 
 import functools
 import math
-import time
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
@@ -153,7 +152,7 @@
         """Record when the platform confirmed the data of this host."""
         self.platform_confirmed_at = confirmed_at
         self._confirmation_age.record(
-            confirmed_at, self._clock(), _read_boot_time()
+            confirmed_at, self._clock(), quota_service.boottime()
         )
         self.quotas.on_confirmed(confirmed_at)
 
@@ -479,14 +478,9 @@
         )
 
 
-def _read_boot_time() -> float:
-    """Return the time since boot in seconds, with suspensions."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def _real_age_s(confirmation_age: authentication.ConfirmationAge) -> float:
     """Return the real time since the platform's data was confirmed."""
-    return confirmation_age.age_s(_read_boot_time())
+    return confirmation_age.age_s(quota_service.boottime())
 
 
 def _ignore_bounds(_: Any) -> None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -466,7 +466,7 @@
             world.store.is_down = True
             boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
             with mock.patch(
-                'cardamomflow.hosting._read_boot_time',
+                'cardamomflow.quotas.service.boottime',
                 return_value=boot_time + 5,
             ):
                 return (
