--- a/review/standins2/hosts.py
+++ b/review/standins2/hosts.py
@@ -126,7 +126,9 @@
         )
 
 
-def request_bytes(method, path, request_id, body, deadline_ms=3000):
+def request_bytes(
+    method, path, request_id, body, deadline_ms=3000, headers=()
+):
     """Return a request as a client sends it."""
     head = [
         b'%s %s HTTP/1.1' % (method, path.encode()),
@@ -134,17 +136,22 @@
         b'X-Request-Id: ' + request_id.encode(),
         b'X-Request-Deadline: %d' % deadline_ms,
     ]
+    head.extend(f'{name}: {content}'.encode() for name, content in headers)
     if method == b'POST':
         head.append(b'Content-Length: %d' % len(body))
     return b'\r\n'.join(head) + b'\r\n\r\n' + body
 
 
-def ask(port, method, path, request_id, body, deadline_ms=3000):
+def ask(
+    port, method, path, request_id, body, deadline_ms=3000, headers=()
+):
     """Send one request on a new connection and return its answer."""
     with socket.create_connection(('127.0.0.1', port), 1.0) as connection:
         connection.settimeout(deadline_ms / 1000 + 1)
         connection.sendall(
-            request_bytes(method, path, request_id, body, deadline_ms)
+            request_bytes(
+                method, path, request_id, body, deadline_ms, headers
+            )
         )
         received = b''
         while True:
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -12,6 +12,8 @@
 import urllib.parse
 
 PAGE_ITEMS = 500
+# Time for which a lost answer keeps its connection open.
+SILENCE_S = 15
 
 
 class Store:
@@ -153,16 +155,43 @@
             self._end_lease(lease)
 
 
-def serve(store):
-    """Serve a store on a free loopback port; return the port."""
+class Door:
+    """The way of one host to the store, which can turn this host away.
+
+    Attributes
+    ----------
+    is_silent : bool
+        Whether calls of the host get no answer.
+    """
+
+    def __init__(self):
+        self.is_silent = False
+
+
+def serve(store, door=None):
+    """Serve a store on a free loopback port; return the port.
+
+    Parameters
+    ----------
+    store : Store
+    door : Door, optional
+    """
+    door = door or Door()
 
     class Handler(http.server.BaseHTTPRequestHandler):
         protocol_version = 'HTTP/1.1'
 
         def _answer(self):
+            if door.is_silent:
+                self._wait_silently()
+                return
             size = int(self.headers.get('Content-Length') or 0)
             body = self.rfile.read(size)
             status, document = store.call(self.command, self.path, body)
+            if door.is_silent:
+                # A watch that was waiting gets no answer either.
+                self._wait_silently()
+                return
             payload = json.dumps(document).encode()
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
@@ -170,6 +199,11 @@
             self.end_headers()
             self.wfile.write(payload)
 
+        def _wait_silently(self):
+            """Keep a connection that returns nothing any more."""
+            time.sleep(SILENCE_S)
+            self.close_connection = True
+
         do_GET = do_POST = do_DELETE = _answer
 
         def log_message(self, *_):
