Bound what accepted links hold while they wait

Cause: a link kept its last received block of up to 256 KB in a variable while it waited for the next one, frames up to 16 KB did not count, the system's buffers had no bound, and links that came at once were accepted in one round of the loop.

Change: an accepted link receives blocks of 64 KB, drops them once the reader has them, counts frames from 1 KB on, and takes turns like the connections of callers.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -1,6 +1,7 @@
 """Runs the daemons: start, readiness and graceful stop; owns their tasks."""
 
 import functools
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -67,6 +68,7 @@
         """Bind the listening socket, so that port 0 is resolved at once."""
         self._guard = client_guard or guard.Guard(sizing.Limits())
         self._listener = webserver.listen(address, port)
+        webserver.limit_buffers(self._listener)
         self.port: int = self._listener.getsockname()[1]
         self._handler = handler
         self.stopping = False
@@ -74,7 +76,10 @@
     async def serve(self) -> None:
         """Accept links until cancelled."""
         async with self._listener:
-            while True:
+            for number in itertools.count(1):
+                if not number % webserver.ACCEPTS_IN_A_TURN:
+                    # An accept does not wait while others are pending.
+                    await curio.sleep(0)
                 try:
                     sock, _ = await self._listener.accept()
                 except OSError:
--- a/cardamomflow/frames.py
+++ b/cardamomflow/frames.py
@@ -49,7 +49,9 @@
         self._buffer = bytearray()
 
     def feed(self, received: bytes) -> Iterator[MessageT]:
-        """Append received bytes and yield the complete messages.
+        """Append received bytes and return the complete messages.
+
+        The returned iterator must be read to its end before the next call.
 
         Raises
         ------
@@ -59,6 +61,9 @@
             A frame does not contain a valid message.
         """
         self._buffer += received
+        return self._split()
+
+    def _split(self) -> Iterator[MessageT]:
         start = 0
         while len(self._buffer) - start >= _HEADER.size:
             (length,) = _HEADER.unpack_from(self._buffer, start)
--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import time
+from collections.abc import Iterator
 from typing import Any, Generic, TypeVar
 
 import curio
@@ -16,9 +17,11 @@
 from google.protobuf import message as protobuf_message
 
 from cardamomflow import errors, frames, liveness
-from cardamomflow.heldbytes import budget, guard
+from cardamomflow.heldbytes import budget, guard, sizing, turns
 
 _RECEIVE_BYTES = 262_144
+# Blocks of accepted links, which are many if the peers are no hosts.
+_ACCEPTED_RECEIVE_BYTES = 65_536
 # A link with more unsent bytes is closed, to bound memory when the peer reads
 # too slowly.
 MAX_UNSENT_BYTES = 16_777_216
@@ -28,8 +31,8 @@
 _FLUSH_POLL_S = 0.005
 # Messages of one received block that are handled in one turn of the loop.
 _MESSAGES_IN_A_TURN = 64
-# Smaller frames are not counted: a link with many of them would cost more.
-_SMALL_BYTES = 16_384
+# Smaller frames are part of the memory that `sizing` assumes for a connection.
+_SMALL_BYTES = 1024
 
 MessageT = TypeVar('MessageT', bound=protobuf_message.Message)
 
@@ -86,6 +89,11 @@
         """
         super().__init__(peer_address(sock), time.monotonic())
         self._guard = client_guard
+        self._turns: turns.Turns | None = None
+        self._receive_bytes = _RECEIVE_BYTES
+        if client_guard is not None:
+            self._turns = turns.Turns(client_guard.scheduler)
+            self._receive_bytes = _ACCEPTED_RECEIVE_BYTES
         self.is_open = True
         self._sock = sock
         self._reader = frames.FrameReader(message_type)
@@ -237,19 +245,35 @@
 
     async def _read(self) -> None:
         while True:
-            received = await self._sock.recv(_RECEIVE_BYTES)
+            received = await self._sock.recv(self._receive_bytes)
             if not received:
                 return
-            self.progressed_at = time.monotonic()
-            self._timer.record_received(self.progressed_at)
+            now = time.monotonic()
+            self.record_progress(now, len(received))
+            self._timer.record_received(now)
             if self.is_open:
-                await self._dispatch(received)
+                messages = self._reader.feed(received)
+                # Without this, the block stays while the link waits for others.
+                del received
+                await self._wait_for_turn()
+                await self._dispatch(messages)
             # Without this, a socket that always has bytes would never
             # suspend this task.
             await curio.sleep(0)
 
-    async def _dispatch(self, received: bytes) -> None:
-        for number, message in enumerate(self._reader.feed(received), 1):
+    async def _wait_for_turn(self) -> None:
+        """Wait for a turn for a received block, which counts meanwhile."""
+        if self._turns is None or self._turns.start_block():
+            return
+        await self._count_held()
+        self.waits_for_turn = True
+        try:
+            await self._turns.wait_for_block()
+        finally:
+            self.waits_for_turn = False
+
+    async def _dispatch(self, messages: Iterator[MessageT]) -> None:
+        for number, message in enumerate(messages, 1):
             await self._handler.on_message(self, message)
             if not number % _MESSAGES_IN_A_TURN:
                 await curio.sleep(0)
@@ -267,7 +291,9 @@
         """Count requests, and large frames that are incomplete or not sent."""
         if self._guard is None:
             return
-        size = self._reader.buffered_bytes + self.unsent_bytes
+        size = sizing.buffer_bytes(
+            self._reader.buffered_bytes + self.unsent_bytes
+        )
         size += self._work_bytes
         if self.held_bytes or size > _SMALL_BYTES:
             await self._guard.hold(self, budget.Kind.FRAME, size)
