Refuse frames with very many fields, and bound turns with many messages

Cause: a message of empty fields takes up to 60 times its size once it is parsed, and frames count with their size. A link handled 64 messages in each round of the loop, whatever the number of links, and a request for parts counted the same for one part and for thousands.

Links with many messages in a block share 4 turns of a round. A request for parts counts 2 KB for each part.

--- a/cardamomflow/frames.py
+++ b/cardamomflow/frames.py
@@ -9,7 +9,7 @@
 
 from google.protobuf import message as protobuf_message
 
-from cardamomflow import errors
+from cardamomflow import errors, framefields
 
 MAX_FRAME_BYTES = 4_194_304
 _HEADER = struct.Struct('>I')
@@ -34,9 +34,19 @@
 class FrameReader(Generic[MessageT]):
     """Splits a byte stream into messages of one type."""
 
-    def __init__(self, message_type: type[MessageT]) -> None:
-        """Create a reader of frames that contain a `message_type`."""
+    def __init__(
+        self, message_type: type[MessageT], *, checks_fields: bool = False
+    ) -> None:
+        """Create a reader of frames that contain a `message_type`.
+
+        Parameters
+        ----------
+        message_type : type
+        checks_fields : bool
+            Whether messages with very many fields are refused.
+        """
         self._message_type = message_type
+        self._checks_fields = checks_fields
         self._buffer = bytearray()
 
     @property
@@ -56,7 +66,8 @@
         Raises
         ------
         errors.FrameTooLarge
-            A frame announces more than `MAX_FRAME_BYTES`.
+            A frame announces more than `MAX_FRAME_BYTES`, or has too many
+            fields.
         errors.ProtocolViolation
             A frame does not contain a valid message.
         """
@@ -74,12 +85,15 @@
             end = start + _HEADER.size + length
             if len(self._buffer) < end:
                 break
-            body = bytes(self._buffer[start + _HEADER.size : end])
+            with memoryview(self._buffer) as view:
+                body = bytes(view[start + _HEADER.size : end])
             start = end
             yield self._parse(body)
         del self._buffer[:start]
 
     def _parse(self, body: bytes) -> MessageT:
+        if self._checks_fields:
+            framefields.check(body, self._message_type.DESCRIPTOR)
         try:
             return self._message_type.FromString(body)
         except protobuf_message.DecodeError as error:
--- a/cardamomflow/heldbytes/turns.py
+++ b/cardamomflow/heldbytes/turns.py
@@ -17,6 +17,8 @@
 BLOCKS_IN_A_ROUND = 16
 # Blocks with more than `EVENTS_IN_A_TURN` events have one turn a round in all.
 FRAGMENTS_IN_A_ROUND = 1
+# Turns of links with many messages in a block, see `links`.
+MESSAGE_TURNS_IN_A_ROUND = 4
 # Bodies in pieces so small that they wait for such turns.
 MAX_WAITING_FRAGMENTED = 1024
 RETRY_AFTER_S = 1.0
@@ -41,7 +43,7 @@
 
     Attributes
     ----------
-    blocks, fragments : turnqueue.TurnQueue
+    blocks, fragments, messages : turnqueue.TurnQueue
     """
 
     def __init__(self) -> None:
@@ -51,6 +53,10 @@
         self.fragments: turnqueue.TurnQueue[_Waiter] = turnqueue.TurnQueue(
             FRAGMENTS_IN_A_ROUND, MAX_WAITING_FRAGMENTED
         )
+        self.messages: turnqueue.TurnQueue[_Waiter] = turnqueue.TurnQueue(
+            MESSAGE_TURNS_IN_A_ROUND
+        )
+        self._queues = (self.blocks, self.fragments, self.messages)
         self._is_running = False
 
     async def ensure_running(self) -> None:
@@ -61,15 +67,18 @@
 
     async def _run(self) -> None:
         try:
-            while self.blocks.waiting_count or self.fragments.waiting_count:
+            while any(queue.waiting_count for queue in self._queues):
                 # All other tasks that are ready run first.
                 await curio.sleep(0)
-                due = self.blocks.start_round() + self.fragments.start_round()
-                for waiter in due:
-                    await waiter.wake()
+                await self._start_round()
         finally:
             self._is_running = False
 
+    async def _start_round(self) -> None:
+        for queue in self._queues:
+            for waiter in queue.start_round():
+                await waiter.wake()
+
 
 class Turns:
     """Turns of one connection.
@@ -90,6 +99,7 @@
         self._scheduler = scheduler
         self._block_flow = turnqueue.Flow()
         self._fragment_flow = turnqueue.Flow()
+        self._message_flow = turnqueue.Flow()
         self._waiter: _Waiter | None = None
 
     @property
@@ -124,6 +134,10 @@
         """
         await self._wait(self._scheduler.fragments, self._fragment_flow)
 
+    async def wait_for_messages(self) -> None:
+        """Wait for a further turn for the messages of the present block."""
+        await self._wait(self._scheduler.messages, self._message_flow)
+
     async def interrupt(self) -> None:
         """End a wait for a turn, if there is one."""
         if self._waiter is not None:
--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -9,7 +9,7 @@
 import select
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Generic, TypeVar
 
 import curio
@@ -89,14 +89,17 @@
         """
         super().__init__(peer_address(sock), time.monotonic())
         self._guard = client_guard
-        self._turns: turns.Turns | None = None
+        scheduler = turns.Scheduler()
         self._receive_bytes = _RECEIVE_BYTES
         if client_guard is not None:
-            self._turns = turns.Turns(client_guard.scheduler)
+            scheduler = client_guard.scheduler
             self._receive_bytes = _ACCEPTED_RECEIVE_BYTES
+        self._turns = turns.Turns(scheduler)
         self.is_open = True
         self._sock = sock
-        self._reader = frames.FrameReader(message_type)
+        self._reader = frames.FrameReader(
+            message_type, checks_fields=client_guard is not None
+        )
         self._handler = handler
         self._unsent = bytearray()
         self._wake = curio.Event()
@@ -206,6 +209,7 @@
     async def evict(self, cause: budget.Cause) -> None:
         """Close the link at once."""
         del cause
+        self.is_refusal_sent = True
         await self._abort()
         self._reader.clear()
         self._unsent.clear()
@@ -255,20 +259,19 @@
                 messages = self._reader.feed(received)
                 # Without this, the block stays while the link waits for others.
                 del received
-                await self._wait_for_turn()
+                if not self._turns.start_block():
+                    await self._wait_counted(self._turns.wait_for_block)
                 await self._dispatch(messages)
             # Without this, a socket that always has bytes would never
             # suspend this task.
             await curio.sleep(0)
 
-    async def _wait_for_turn(self) -> None:
+    async def _wait_counted(self, wait: Callable[[], Awaitable[None]]) -> None:
         """Wait for a turn for a received block, which counts meanwhile."""
-        if self._turns is None or self._turns.start_block():
-            return
         await self._count_held()
         self.waits_for_turn = True
         try:
-            await self._turns.wait_for_block()
+            await wait()
         finally:
             self.waits_for_turn = False
 
@@ -276,7 +279,7 @@
         for number, message in enumerate(messages, 1):
             await self._handler.on_message(self, message)
             if not number % _MESSAGES_IN_A_TURN:
-                await curio.sleep(0)
+                await self._wait_counted(self._turns.wait_for_messages)
         await self._count_held()
 
     async def add_work(self, size: int) -> None:
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -38,8 +38,9 @@
 ]
 _NO_PLACEMENT = ownership.Placement(0, {})
 _CLOSE_POLL_S = 0.02
-# Memory of a request for parts besides its message.
+# Memory of a request for parts besides its message, and of each of its parts.
 REQUEST_BYTES = 4096
+PART_BYTES = 2048
 
 
 class HandoverListener(abc.ABC):
@@ -457,7 +458,11 @@
         requests_by_attempt[request.attempt_id] = peer_request
         self._metrics.increment('host.taken_over')
         work.message = work.message._replace(part_counter=peer_request)
-        peer_request.uncounted_bytes = request.ByteSize() + REQUEST_BYTES
+        peer_request.uncounted_bytes = (
+            request.ByteSize()
+            + REQUEST_BYTES
+            + PART_BYTES * len(request.services)
+        )
         await peer_request.count_parts()
         await curio.spawn(
             self._serve,
