Give evicted callers their refusal, and newcomers the place of stalled clients

Cause: an evicted connection was evicted again by the next accept, before its refusal was sent. Each accept over the limit closed those without progress for longest, however short that was, so a connection lived for a few rounds of the loop. Small requests lost their bytes before large stalled bodies did.

Change: evicted connections are closed for others only once their refusal is sent, in the order of eviction, and up to a quarter of the limit in addition to it. A new connection over the limit takes the place of one that has been stalled for 0.25 s, or has waited in a queue for 1 s, or it waits up to 1 s for one; the rest of a crowd waits in the backlog, which is 4,096 now. Queued requests can be evicted (503, not run), those that may have run cannot. Readiness and metrics have 32 connections beyond the limit. Over the limit of bytes, small holders compete with all others.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -83,6 +83,9 @@
         """Run a request of a caller and return how it ended."""
         changed = curio.Event()
         self._changed_by_work[work] = changed
+        counter = work.message.part_counter
+        if counter is not None:
+            counter.was_sent = False
         try:
             await self._run_until_finished(work, changed)
         except guard.RequestEvicted:
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -89,7 +89,10 @@
                 if self.stopping:
                     await sock.close()
                     continue
-                await self._add_link(await self._guard.admit(sock))
+                if await self._guard.make_room():
+                    await self._add_link(await self._guard.admit(sock))
+                else:
+                    await sock.close()
 
     async def _add_link(self, sock: curio_io.Socket | None) -> None:
         if sock is None:
@@ -239,6 +242,7 @@
         *authorities.split(settings['readiness']),
         front.ReadinessHandler(program),
         client_guard=process_context.client_guard,
+        reserved_connections=webserver.OPERATORS_CONNECTIONS,
     )
     program.zones.on_cut_off_change = server.set_close_after_response
     program.on_bounds_changed = functools.partial(setattr, server, 'bounds')
--- a/cardamomflow/heldbytes/budget.py
+++ b/cardamomflow/heldbytes/budget.py
@@ -21,6 +21,13 @@
 # the cost of each choice is spread over many received blocks.
 FREED_SHARE = 16
 SURPLUS_SHARE = 32
+# Evicted connections stay open until their clients have the refusal, within
+# this share of the limit.
+ENDING_SHARE = 4
+# Time without progress after which a connection may be closed for a new one.
+# Within it, an ordinary request arrives, or has its turn.
+STALLED_S = 0.25
+QUEUED_S = 1.0
 # A sender with more than this share of what connections hold loses first. No
 # sender among many has so much.
 DOMINANT_SHARE = 0.5
@@ -73,12 +80,12 @@
     uncounted_bytes : int
         Bytes to add for each part; call `count_parts` once they have
         `PART_STEP_BYTES`.
-    was_sent : bool
-        Whether a backend server may have run the request.
+    was_sent : bool or None
+        Whether a backend server may have run the request; None if unknown.
     """
 
     uncounted_bytes = 0
-    was_sent = False
+    was_sent: bool | None = None
 
     @abc.abstractmethod
     async def count_parts(self) -> None:
@@ -101,10 +108,13 @@
         Monotonic time in seconds up to which the client has made progress.
     waits_for_turn : bool
         Whether input of the client waits for its turn.
-    was_sent : bool
-        Whether a backend server may have run the request in progress.
+    was_sent : bool or None
+        Whether a backend server may have run the request in progress; None if
+        that is unknown, or no request is in progress.
     is_ending : bool
         Set by the budget only; whether the connection has been evicted.
+    is_refusal_sent : bool
+        Whether an evicted connection has nothing left to send.
     """
 
     def __init__(self, sender: str, now: float) -> None:
@@ -114,8 +124,9 @@
         self.uncounted_bytes = 0
         self.progressed_at = now
         self.waits_for_turn = False
-        self.was_sent = False
+        self.was_sent: bool | None = None
         self.is_ending = False
+        self.is_refusal_sent = False
 
     @abc.abstractmethod
     async def evict(self, cause: Cause) -> None:
@@ -135,6 +146,16 @@
             return 0
         return max(0, now - self.progressed_at)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a request is in progress that may have run."""
+        return self.kind is Kind.REQUEST and self.was_sent is not False
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the connection has made no progress for long."""
+        allowed_s = STALLED_S if self.waits_for_client else QUEUED_S
+        return now - self.progressed_at >= allowed_s
+
     def record_progress(self, now: float, size: int) -> None:
         """Record bytes that the client has sent or taken."""
         self.progressed_at = min(
@@ -168,7 +189,8 @@
         self._small_bytes = 0
         self._holders_by_sender: dict[str, dict[Holder, None]] = {}
         self._holder_count = 0
-        self._ending_count = 0
+        # Evicted connections that are still open, in the order of eviction.
+        self._ending: dict[Holder, None] = {}
 
     @property
     def connection_count(self) -> int:
@@ -178,18 +200,20 @@
     @property
     def lasting_count(self) -> int:
         """Number of connections that have not been evicted."""
-        return self._holder_count - self._ending_count
+        return self._holder_count - len(self._ending)
 
-    @property
-    def has_surplus(self) -> bool:
-        """Whether a further connection is over the limit.
+    def has_surplus(self, reserved_count: int = 0) -> bool:
+        """Return whether a further connection is over the limit.
 
-        Evicted connections stay open until their clients have the refusal,
-        within a reserve.
+        Evicted connections do not count for it, up to `ENDING_SHARE`.
+
+        Parameters
+        ----------
+        reserved_count : int
+            Connections that are allowed beyond the limit.
         """
-        limit = self._limits.connections
-        reserve = limit // RESERVED_SHARE
-        return self.lasting_count >= limit or self._ending_count > reserve
+        limit = self._limits.connections + reserved_count
+        return self.lasting_count >= limit or self._has_many_ending
 
     def open(self, holder: Holder) -> None:
         """Add a connection."""
@@ -204,7 +228,7 @@
         self._resize(holder, holder.kind, 0)
         del holders[holder]
         self._holder_count -= 1
-        self._ending_count -= holder.is_ending
+        self._ending.pop(holder, None)
         if not holders:
             del self._holders_by_sender[holder.sender]
 
@@ -227,21 +251,27 @@
         added_bytes, holder.uncounted_bytes = holder.uncounted_bytes, 0
         return self.hold(holder, holder.kind, holder.held_bytes + added_bytes)
 
-    def choose_surplus(self) -> list[Holder]:
+    def choose_surplus(self, *, is_urgent: bool = True) -> list[Holder]:
         """Return the least deserving connections, a small share of all.
 
         They are evicted ones if many of these are still open; else those that
         have made no progress for longest, whatever they wait for. Requests that
-        are being answered are never among them: they end by their deadlines.
+        may have run are never among them: they end by their deadlines.
+
+        Parameters
+        ----------
+        is_urgent : bool
+            Whether connections are chosen that may just have no turn yet.
         """
+        if self._has_many_ending:
+            refused = [each for each in self._ending if each.is_refusal_sent]
+            return refused[: max(1, len(refused) // SURPLUS_SHARE)]
         now = self._clock()
-        is_ending = self._ending_count > self._limits.connections // (
-            RESERVED_SHARE
-        )
         waiting = self._find(
             lambda holder: (
-                holder.is_ending is is_ending
-                and holder.kind is not Kind.REQUEST
+                not holder.is_ending
+                and not holder.may_have_run
+                and (is_urgent or holder.is_stalled(now))
             )
         )
         if not waiting:
@@ -255,8 +285,12 @@
 
     def mark_ending(self, holder: Holder) -> None:
         """Record that a connection is evicted."""
-        self._ending_count += not holder.is_ending
         holder.is_ending = True
+        self._ending[holder] = None
+
+    @property
+    def _has_many_ending(self) -> bool:
+        return len(self._ending) > self._limits.connections // ENDING_SHARE
 
     def _resize(self, holder: Holder, kind: Kind, size: int) -> None:
         self.bytes_by_kind[holder.kind] -= holder.held_bytes
@@ -274,8 +308,8 @@
         """Return the connections that lose their bytes.
 
         Large holders share what the reserve leaves. Small holders may use
-        all that is free; over the limit, they lose only what exceeds their
-        reserve.
+        all that is free; over the limit, they are among those that lose only
+        if they exceed their reserve.
         """
         limit = self._limits.held_bytes
         reserve = limit // RESERVED_SHARE
@@ -283,25 +317,26 @@
         freed = limit // FREED_SHARE
         if large_bytes > limit - reserve:
             return self._evict(
-                large_bytes - limit + reserve + freed, is_small=False
+                large_bytes - limit + reserve + freed, SMALL_HOLDER_BYTES
             )
         if self.held_bytes <= limit:
             return []
-        is_small = self._small_bytes > reserve
-        return self._evict(self.held_bytes - limit + freed, is_small=is_small)
+        is_reserved = self._small_bytes <= reserve
+        return self._evict(
+            self.held_bytes - limit + freed,
+            SMALL_HOLDER_BYTES if is_reserved else 0,
+        )
 
-    def _evict(self, excess_bytes: int, *, is_small: bool) -> list[Holder]:
+    def _evict(self, excess_bytes: int, reserved_bytes: int) -> list[Holder]:
+        """Return the connections to evict, of those with more bytes each."""
         candidates = self._find(
-            lambda holder: (
-                holder.held_bytes
-                and (holder.held_bytes <= SMALL_HOLDER_BYTES) is is_small
-            )
+            lambda holder: holder.held_bytes > reserved_bytes
         )
         dominant = set(_find_dominant(candidates, _held_bytes))
         key = _cost_key(self._clock())
         candidates.sort(
             key=lambda holder: (
-                not holder.was_sent,
+                not holder.may_have_run,
                 holder in dominant,
                 *key(holder),
             ),
--- a/cardamomflow/heldbytes/guard.py
+++ b/cardamomflow/heldbytes/guard.py
@@ -17,6 +17,9 @@
 LOG_INTERVAL_S = 1.0
 # Turns of the loop in which an evicted connection or request ends.
 SETTLE_TURNS = 8
+# Time for which a new connection waits at most for stalled ones.
+MAX_ROOM_WAIT_S = 1.0
+ROOM_POLL_S = 0.01
 
 
 _GAUGES_BY_KIND = {
@@ -129,8 +132,38 @@
             if evicted:
                 await self._evict(evicted, budget.Cause.BYTES)
 
+    async def make_room(
+        self, reserved_count: int = 0, allowed_s: float = MAX_ROOM_WAIT_S
+    ) -> bool:
+        """Wait until there is room for a further connection.
+
+        Evicts stalled connections if too many are open. If none is stalled, the
+        new connection waits, because it would cost another one its request.
+
+        Parameters
+        ----------
+        reserved_count : int
+            Connections that are allowed beyond the limit.
+        allowed_s : float
+            Time to wait for room; any connection is evicted then.
+
+        Returns
+        -------
+        bool
+            False if requests that may have run take all connections.
+        """
+        give_up_at = self.clock() + allowed_s
+        while self.budget.has_surplus(reserved_count):
+            is_urgent = self.clock() >= give_up_at
+            surplus = self.budget.choose_surplus(is_urgent=is_urgent)
+            await self._evict(surplus, budget.Cause.CONNECTIONS)
+            if is_urgent:
+                return bool(surplus)
+            await curio.sleep(0 if surplus else ROOM_POLL_S)
+        return True
+
     async def admit(self, sock: curio_io.Socket) -> curio_io.Socket | None:
-        """Make room for an accepted connection.
+        """Make room for the descriptor of an accepted connection.
 
         Closes the least deserving connections if too many are open. The
         descriptor of a new socket is the lowest free number, so at least as
@@ -142,13 +175,9 @@
             The socket to use; None if the connection was closed, because
             requests of all others are being answered.
         """
-        if sock.fileno() >= self.limits.descriptors:
-            cause = budget.Cause.DESCRIPTORS
-        elif self.budget.has_surplus:
-            cause = budget.Cause.CONNECTIONS
-        else:
+        if sock.fileno() < self.limits.descriptors:
             return sock
-        is_admitted = await self.shrink(cause)
+        is_admitted = await self.shrink(budget.Cause.DESCRIPTORS)
         # A copy gets one of the numbers that are free now. Otherwise, each
         # time these are used up, one more number over the limit would be.
         copy = sock._socket.dup() if is_admitted else None  # noqa: SLF001
@@ -161,10 +190,9 @@
         expected_count = self.budget.connection_count - len(surplus)
         await self._evict(surplus, cause)
         # The tasks of the closed connections run now and close the
-        # descriptors, unless the clients have to read a refusal first.
+        # descriptors.
         for _ in range(SETTLE_TURNS):
-            is_settled = self.budget.connection_count <= expected_count
-            if is_settled or cause is budget.Cause.CONNECTIONS:
+            if self.budget.connection_count <= expected_count:
                 break
             await curio.sleep(0)
         return bool(surplus)
--- a/cardamomflow/metricspage.py
+++ b/cardamomflow/metricspage.py
@@ -55,6 +55,7 @@
         *authorities.split(address),
         MetricsPage(process_context.metrics),
         client_guard=process_context.client_guard,
+        reserved_connections=webserver.OPERATORS_CONNECTIONS,
     )
     process_context.journal.info(events.Event.METRICS_SERVED, port=server.port)
     return (server.serve,)
--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -147,12 +147,15 @@
         whether it may have run.
         """
         del cause
+        if self._is_evicted:
+            await self.close()
+            return
+        self._is_evicted = True
         if self.handling:
-            self._is_evicted = True
             await self._end_request(guard.RequestEvicted)
             return
-        is_sending = self.kind in {budget.Kind.IDLE, budget.Kind.ANSWER}
-        if is_sending or self._reader.is_refused:
+        if self.kind in {budget.Kind.IDLE, budget.Kind.ANSWER}:
+            self.is_refusal_sent = True
             await self.close()
             return
         await self._reader.refuse(
@@ -307,7 +310,7 @@
     def _set_state(self, kind: budget.Kind) -> None:
         """Record that the connection has progressed to another state."""
         self.progressed_at = self._guard.clock()
-        self.was_sent = False
+        self.was_sent = None
         if self.held_bytes or self.uncounted_bytes:
             self.uncounted_bytes = 0
             self._guard.budget.hold(self, kind, 0)
@@ -404,6 +407,7 @@
         Closing a socket with unread input resets the connection, and the
         caller may then lose the response.
         """
+        self.is_refusal_sent = True
         linger_s = 0.5
         await self._sock.shutdown(socket.SHUT_WR)
         if self._reader.is_refused:
--- a/cardamomflow/webserver.py
+++ b/cardamomflow/webserver.py
@@ -15,7 +15,9 @@
 from cardamomflow.heldbytes import budget, guard, sizing
 
 MAX_CONNECTIONS = 8192
-_BACKLOG = 1024
+# Connections beyond the limit for checks of the readiness and for metrics.
+OPERATORS_CONNECTIONS = 32
+_BACKLOG = 4096
 _ACCEPT_RETRY_S = 0.05
 _DRAIN_POLL_S = 0.01
 # Accepting a connection takes 100 us.
@@ -43,6 +45,7 @@
         handler: webhandler.RequestHandler,
         max_connections: int = MAX_CONNECTIONS,
         client_guard: guard.Guard | None = None,
+        reserved_connections: int = 0,
     ) -> None:
         """Bind the listening socket, so that port 0 is resolved.
 
@@ -55,7 +58,10 @@
             Limit of this server; further connections are refused.
         client_guard : guard.Guard, optional
             Limits that the servers of a process share.
+        reserved_connections : int
+            Connections that this server may have beyond the shared limit.
         """
+        self._reserved_connections = reserved_connections
         self._guard = client_guard or guard.Guard(sizing.Limits())
         self._handler = handler
         self._max_connections = max_connections
@@ -177,7 +183,12 @@
             self.record_refused_connection()
             await client.close()
             return
-        admitted = await self._guard.admit(client)
+        allowed_s = 0 if self._closed else guard.MAX_ROOM_WAIT_S
+        admitted = None
+        if await self._guard.make_room(self._reserved_connections, allowed_s):
+            admitted = await self._guard.admit(client)
+        else:
+            await client.close()
         if admitted is None:
             self.record_refused_connection()
             return
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -154,8 +154,9 @@
         sent = self.fill('a', 2, kind=kind)
         for holder in sent:
             holder.was_sent = True
-        self.fill('a', 10, kind=kind)
-        _, evicted = self.add('a', 3 * BODY_BYTES, kind=kind)
+        for holder in self.fill('a', 10, kind=kind):
+            holder.was_sent = False
+        _, evicted = self.add('a', 3 * BODY_BYTES, kind=budget.Kind.BODY)
         self.assertTrue(evicted)
         self.assertFalse(set(evicted) & set(sent))
 
@@ -163,14 +164,37 @@
         """Guards against a refusal that is cut before its caller has it."""
         kind = budget.Kind.BODY
         refused = [self.add('a', kind=kind, waited_s=9.0)[0] for _ in range(4)]
-        self.assertTrue(self.budget.has_surplus)
+        self.assertTrue(self.budget.has_surplus())
         self.budget.mark_ending(refused[0])
         self.budget.mark_ending(refused[0])
         self.assertEqual(self.budget.lasting_count, 3)
+        self.assertNotIn(refused[0], self.budget.choose_surplus())
         self.budget.close(refused[0])
-        self.assertFalse(self.budget.has_surplus)
+        self.assertFalse(self.budget.has_surplus())
         self.assertEqual(self.budget.lasting_count, 3)
 
+    def test_fresh_connection_is_no_surplus_without_need(self):
+        """Guards against a crowd of newcomers that costs each its request."""
+        kind = budget.Kind.IDLE
+        self.add('a', kind=kind)
+        self.assertEqual(self.budget.choose_surplus(is_urgent=False), [])
+        stalled, _ = self.add('a', kind=kind, waited_s=budget.STALLED_S)
+        queued, _ = self.add('a', kind=kind, waited_s=budget.STALLED_S)
+        queued.waits_for_turn = True
+        self.assertEqual(self.budget.choose_surplus(is_urgent=False), [stalled])
+
+    def test_queued_request_is_surplus_after_a_while(self):
+        """Guards against queued requests that keep out all later callers."""
+        kind = budget.Kind.REQUEST
+        sent, queued, recent = [
+            self.add('a', kind=kind, waited_s=waited_s)[0]
+            for waited_s in (9.0, budget.QUEUED_S, 0.5)
+        ]
+        sent.was_sent = True
+        queued.was_sent = False
+        recent.was_sent = False
+        self.assertEqual(self.budget.choose_surplus(is_urgent=False), [queued])
+
     def test_request_in_progress_is_no_surplus(self):
         """Guards against a request that is cut for an idle connection."""
         self.add('a', kind=budget.Kind.REQUEST, waited_s=9.0)
--- a/tests/test_large_crowds.py
+++ b/tests/test_large_crowds.py
@@ -23,6 +23,7 @@
 SMALLER_MEMORY_MB = 96
 MAX_DESCRIPTORS = 2870
 LARGE = 2700
+FEW = 8
 MANY_SENDERS = 250
 BESIDE_SENDERS = 1000
 # Few enough that none is refused.
@@ -213,6 +214,10 @@
         """Guards against requests in progress that nothing counts."""
         self.check('callers')
 
+    def test_all_kinds_that_come_again(self):
+        """Guards against refusals that are cut before their callers read."""
+        self.check('mixed+')
+
     def test_readers_of_many_senders(self):
         """Guards against an ordinary caller that counts as the largest."""
         self.check('readers', BESIDE_SENDERS, MANY_SENDERS)
@@ -239,6 +244,14 @@
         """Guards against frames without bound of clients that are no hosts."""
         self.check('frames', port='peers_port')
 
+    def test_frames_of_empty_fields(self):
+        """Guards against messages that are far larger once they are parsed."""
+        self.check('empty_fields', clients=FEW, port='peers_port')
+
+    def test_frames_of_empty_messages(self):
+        """Guards against small messages that take all time of the loop."""
+        self.check('empty_frames', clients=COUNTED, port='peers_port')
+
     def test_chunks_at_the_metrics_port(self):
         """Guards against a port whose input counts for nobody."""
         self.check('chunks_16', port='metrics_port')
