--- a/tests/test_large_crowds.py
+++ b/tests/test_large_crowds.py
@@ -44,6 +44,16 @@
 _LOST = (OSError, h11.RemoteProtocolError, errors.ConnectFailed)
 
 
+async def _status_or_loss(send, *arguments):
+    """Return the status of a request, or what happened instead."""
+    try:
+        return await curio.timeout_after(ORDINARY_LIMIT_S, send, *arguments)
+    except curio.TaskTimeout:
+        return 'no answer'
+    except _LOST as error:
+        return f'lost: {error!r}'
+
+
 class Host(small_crowds.HostProcess):
     """A host process with services for the crowd and one for others."""
 
@@ -83,20 +93,9 @@
         target, method, body = '/report/x', 'GET', b''
         if number % 2:
             target, method, body = '/order/x', 'POST', ORDINARY_BODY
-        try:
-            answer = await curio.timeout_after(
-                ORDINARY_LIMIT_S,
-                self._send_ordinary,
-                target,
-                method,
-                body,
-                f'ordinary-{number}',
-            )
-        except curio.TaskTimeout:
-            return 'no answer'
-        except _LOST as error:
-            return f'lost: {error!r}'
-        return answer.status
+        return await _status_or_loss(
+            self._send_ordinary, target, method, body, f'ordinary-{number}'
+        )
 
     async def read_gauges(self):
         """Return the bytes that connections hold, and their number."""
@@ -116,7 +115,7 @@
         )
 
     async def _send_ordinary(self, target, method, body, request_id):
-        return await self.send_request(
+        answer = await self.send_request(
             target,
             method,
             body,
@@ -124,6 +123,7 @@
             request_id=request_id,
             connect_s=ORDINARY_LIMIT_S,
         )
+        return answer.status
 
 
 class SmallerHost(Host):
@@ -132,6 +132,18 @@
     memory_mb = SMALLER_MEMORY_MB
 
 
+class Entry(small_crowds.EntryProcess):
+    """An entry process on the same machine."""
+
+    memory_mb = MEMORY_MB
+    limits = {'memory_mb': MEMORY_MB, 'max_descriptors': MAX_DESCRIPTORS}
+
+    async def ask_as(self, number):
+        """Return the status of a GET."""
+        del number
+        return await _status_or_loss(self.ask)
+
+
 class _LargeCrowdTest(unittest.TestCase):
     world_type = Host
 
@@ -237,6 +249,16 @@
         self.check('chunks_16', clients=800)
 
 
+class EntryTest(_LargeCrowdTest):
+    """A crowd at an entry process."""
+
+    world_type = Entry
+
+    def test_all_kinds(self):
+        """Guards against an entry process without the machine's limits."""
+        self.check('mixed')
+
+
 class OtherPortsTest(_LargeCrowdTest):
     """Crowds at ports that are not for callers."""
 
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -261,6 +261,9 @@
 class EntryProcess(_ProcessWorld):
     """An entry process without agent, which answers for its status only."""
 
+    # Further settings.
+    limits = {}
+
     async def __aenter__(self):
         settings = {
             'process_id': 'entry-1',
@@ -268,6 +271,7 @@
             'listen': {'address': '127.0.0.1', 'port': 0},
             # Nothing listens there.
             'agent': {'address': '127.0.0.1', 'port': 1},
+            **self.limits,
         }
         self.start_program('entry', settings)
         await loops.until(lambda: self.port_of('started'), START_LIMIT_S)
