Take an answer without a length that is reset for what it is: incomplete

Cause: the system reports a reset once, here to the task that still sent the request. The receiving task then saw a proper end, which ends a body without a length.

Change: after a reset that the sending side has seen, the end of the stream is an error. A reset after the end of the peer's stream is reported as EPIPE, so whole answers stay whole. An end that this side makes by its own shutdown completes no answer either.

--- a/cardamomflow/duplex.py
+++ b/cardamomflow/duplex.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import errno
 import socket
 
 import curio
@@ -36,6 +37,9 @@
         self._unsent: collections.deque[memoryview] = collections.deque()
         # Whether posted bytes were dropped after a failure to send.
         self._is_cut = False
+        # Whether the peer has reset the connection before the end of its
+        # stream. The system reports it once, here to a task that sends.
+        self._was_reset = False
         # Number of tasks that may wait for the descriptor.
         self._users = 0
         self._is_closing = False
@@ -60,7 +64,8 @@
     async def post(self, payload: bytes) -> None:
         """Send bytes, in the background if the peer does not read.
 
-        A failure to send ends the stream for `recv`.
+        A failure to send ends the stream for `recv`, with an error if the peer
+        has reset the connection.
         """
         if self._unsent:
             self._unsent.append(memoryview(payload))
@@ -69,7 +74,8 @@
             sent_bytes = self._send_now(payload)
         except BlockingIOError:
             sent_bytes = 0
-        except OSError:
+        except OSError as error:
+            self._record_failure(error)
             await self.shut_down(socket.SHUT_RDWR)
             return
         if sent_bytes < len(payload):
@@ -92,9 +98,12 @@
         """
         self._users += 1
         try:
-            return await self._sock.recv(limit)
+            received = await self._sock.recv(limit)
         finally:
             await self._end_use()
+        if not received and self._was_reset:
+            raise ConnectionResetError('the peer has reset the connection')
+        return received
 
     async def shut_down(self, direction: int) -> None:
         """Shut down one or both directions, see `socket.shutdown`.
@@ -118,7 +127,8 @@
         """Send the unsent bytes; the caller counted this task as a user."""
         try:
             await self._send_unsent()
-        except OSError:
+        except OSError as error:
+            self._record_failure(error)
             # The blocks may be large and shared with other sockets.
             self._is_cut = True
             self._unsent.clear()
@@ -127,6 +137,13 @@
         finally:
             await self._end_use()
 
+    def _record_failure(self, error: OSError) -> None:
+        """Record a failure to send.
+
+        After the end of the peer's stream, a reset is reported as EPIPE.
+        """
+        self._was_reset = error.errno == errno.ECONNRESET
+
     async def _send_unsent(self) -> None:
         while self._unsent:
             await self._sock.sendall(self._unsent[0])
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -490,6 +490,9 @@
         return body
 
     async def _finish_response(self) -> bool:
+        if self._closed:
+            # An answer without a length may end by the shutdown of this side.
+            return False
         body = self._pop_body()
         # A peer that answers early takes what is sent next for the rest of the
         # request.
--- a/tests/test_duplex.py
+++ b/tests/test_duplex.py
@@ -45,6 +45,55 @@
     return received
 
 
+def tcp_pair():
+    """Return both ends of a TCP connection, with small buffers."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(('127.0.0.1', 0))
+        listener.listen()
+        own = socket.create_connection(listener.getsockname())
+        peer, _ = listener.accept()
+    return duplex.DuplexSocket(curio_io.Socket(own)), peer
+
+
+class ResetTest(unittest.TestCase):
+    """Peers that answer before they have read the whole request."""
+
+    def receive_until_the_end(self, end_peer):
+        """Return what is received when the peer ends beside a long send."""
+
+        async def scenario():
+            sock, peer = tcp_pair()
+            await sock.post(LARGE)
+            peer.send(b'answer')
+            end_peer(peer)
+            # The task that sends learns of the end first.
+            await loops.until(lambda: sock._is_cut)
+            received = b''
+            try:
+                while block := await sock.recv(100):
+                    received += block
+            finally:
+                await sock.close()
+            return received
+
+        return loops.run(scenario)
+
+    def test_reset_is_no_end_of_the_stream(self):
+        """Guards against a cut answer that is passed on as a whole."""
+        with self.assertRaises(ConnectionResetError):
+            self.receive_until_the_end(lambda peer: peer.close())
+
+    def test_answer_that_ended_before_the_reset_is_whole(self):
+        """Guards against a whole answer that counts as cut."""
+
+        def end_peer(peer):
+            peer.shutdown(socket.SHUT_WR)
+            peer.close()
+
+        self.assertEqual(self.receive_until_the_end(end_peer), b'answer')
+
+
 class CloseTest(unittest.TestCase):
     def check_close_while(self, start_waiting):
         """Check that a closed descriptor is free for the next sockets."""
