Run no request that arrives while its connection is closed

Cause: a close shuts the socket down, but a request that has arrived can still be read. It was read and passed on, and its answer could not be sent.

Change: a connection that was closed runs no further request.

--- a/cardamomflow/serverconnection.py
+++ b/cardamomflow/serverconnection.py
@@ -117,6 +117,7 @@
         self._server = server
         self._is_first = True
         self._is_evicted = False
+        self._is_closed = False
         self._reader = requestreading.RequestReader(
             sock, self, self._guard, lambda: server.bounds
         )
@@ -137,7 +138,12 @@
             self._server.discard(self)
 
     async def close(self) -> None:
-        """Shut the connection down, even during a request."""
+        """Shut the connection down, even during a request.
+
+        A request that has arrived meanwhile is not run: its answer could not
+        be sent.
+        """
+        self._is_closed = True
         await self._shut_down(socket.SHUT_RDWR)
 
     async def evict(self, cause: budget.Cause) -> None:
@@ -289,6 +295,8 @@
             + len(body),
         )
         self._reader.check_refused()
+        if self._is_closed:
+            return None
         target = requesthead.parse_target(head.target.decode('latin-1'))
         raw_headers = head.headers
         if target.host is not None:
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -325,6 +325,24 @@
         with mock.patch.object(serverconnection, 'SEND_TIMEOUT_S', 0.2):
             loops.run(scenario)
 
+    def test_request_that_crosses_the_close_is_not_run(self):
+        """Guards against a request that runs and whose answer is lost."""
+
+        async def scenario():
+            async with (
+                loops.serving(self.server) as port,
+                loops.Caller(port) as caller,
+            ):
+                await loops.until(lambda: self.server.connection_count)
+                (connection,) = self.server.open_connections()
+                # Arrives before the task of the connection runs again.
+                caller.sock._socket.send(_GET)
+                await connection.close()
+                return await caller.read_all()
+
+        self.assertEqual(loops.run(scenario), b'')
+        self.assertEqual(self.handler.handled, 0)
+
     def test_caller_over_the_limit_takes_the_place_of_an_idle_one(self):
         """Guards against idle connections that keep out all later callers."""
         limits = sizing.Limits(connections=3)
