Count no pause between requests or messages as lack of progress

A kept connection that was idle for 30 s, or a link with small messages, then seemed stalled while it sent its next request, and lost first when memory or connections ran short.

Change: a new request starts without a wait, and a complete message of a link is progress.

Result: tests.test_webserver.WebServerTest. test_time_between_requests_is_no_lack_of_progress and tests.test_held_bytes.LinkTest.test_small_messages_are_progress failed before.

--- a/cardamomflow/links.py
+++ b/cardamomflow/links.py
@@ -277,6 +277,8 @@
 
     async def _dispatch(self, messages: Iterator[MessageT]) -> None:
         for number, message in enumerate(messages, 1):
+            # Small messages with pauses in between are usual.
+            self.progressed_at = time.monotonic()
             await self._handler.on_message(self, message)
             if not number % _MESSAGES_IN_A_TURN:
                 await self._wait_counted(self._turns.wait_for_messages)
--- a/cardamomflow/requestreading.py
+++ b/cardamomflow/requestreading.py
@@ -6,6 +6,7 @@
 the requests.
 """
 
+import functools
 import http
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -109,22 +110,23 @@
         """
         self._body_length = 0
         self._head_bytes = 0
-        if self.protocol.trailing_data[0]:
-            await self._wait_for_turn(budget.Kind.HEAD)
-            return True
-        if self._input_ended:
-            return False
+        if not self.protocol.trailing_data[0]:
+            if self._input_ended or not await self._receive_first():
+                return False
+        # The time between two requests is no lack of progress.
+        self._holder.progressed_at = self._guard.clock()
+        await self._wait_for_turn(budget.Kind.HEAD)
+        return True
+
+    async def _receive_first(self) -> bool:
         try:
-            received = await curio.timeout_after(
+            return await curio.timeout_after(
                 self._read_bounds().idle_timeout_s,
                 self._receive,
                 _HEAD_RECEIVE_BYTES,
             )
         except curio.TaskTimeout:
             return False
-        if received:
-            await self._wait_for_turn(budget.Kind.HEAD)
-        return bool(received)
 
     async def read_head(self) -> h11.Request | None:
         """Return the head of a request, or None at the end of the input.
@@ -136,7 +138,9 @@
         bounds = self._read_bounds()
         self._head_pieces = 0
         event = await _read_within(
-            bounds.head_timeout_s, 'head', self._next_head
+            bounds.head_timeout_s,
+            'head',
+            functools.partial(self._next_event, in_head=True),
         )
         if not isinstance(event, h11.Request):
             return None
@@ -207,9 +211,6 @@
             self._meter.is_tolerated = True
         return False
 
-    async def _next_head(self) -> Any:
-        return await self._next_event(in_head=True)
-
     async def _next_event(self, *, in_head: bool = False) -> Any:
         kind = budget.Kind.HEAD if in_head else budget.Kind.BODY
         while True:
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -1,6 +1,7 @@
 """Limits on what clients hold: sizes, choice of connections, turns."""
 
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -266,6 +267,25 @@
 
         self.assertEqual(loops.run(scenario), ([BODY_BYTES, 0], False))
 
+    def test_small_messages_are_progress(self):
+        """Guards against links of other hosts that are evicted first."""
+
+        async def scenario():
+            own, peer = socket.socketpair()
+            handler = mock.Mock(on_message=mock.AsyncMock())
+            link = links.Link(
+                curio_io.Socket(own),
+                wire_pb2.Envelope,
+                handler,
+                guard.Guard(sizing.Limits()),
+            )
+            link.progressed_at -= 30
+            with own, peer:
+                await link._dispatch(iter((wire_pb2.Envelope(),)))
+            return link.is_stalled(time.monotonic())
+
+        self.assertFalse(loops.run(scenario))
+
 
 class LargeMessageTest(unittest.TestCase):
     """Messages whose bodies are released early."""
--- a/tests/test_webserver.py
+++ b/tests/test_webserver.py
@@ -325,6 +325,33 @@
         with mock.patch.object(serverconnection, 'SEND_TIMEOUT_S', 0.2):
             loops.run(scenario)
 
+    def test_time_between_requests_is_no_lack_of_progress(self):
+        """Guards against kept connections that are evicted first."""
+        now = [100.0]
+        server = webserver.WebServer(
+            '127.0.0.1',
+            0,
+            self.handler,
+            client_guard=guard.Guard(sizing.Limits(), clock=lambda: now[0]),
+        )
+        self.addCleanup(server._listener._socket.close)
+
+        async def scenario():
+            async with (
+                loops.serving(server) as port,
+                loops.Caller(port) as caller,
+            ):
+                await caller.send(_GET)
+                await caller.read_until(b'}')
+                now[0] += 30
+                await caller.send(_GET[:-2])
+                budget = server.client_guard.budget
+                await loops.until(lambda: budget.held_bytes)
+                (connection,) = server.open_connections()
+                return connection.waited_s(now[0])
+
+        self.assertEqual(loops.run(scenario), 0)
+
     def test_request_that_crosses_the_close_is_not_run(self):
         """Guards against a request that runs and whose answer is lost."""
 
