Let newcomers wait 0.1 s at most for a stalled connection

Beside callers that all make progress, each new connection over the limit waited 1 s before another one was closed for it, and the backlog waited with it.

Change: it waits 0.1 s.

--- a/cardamomflow/heldbytes/guard.py
+++ b/cardamomflow/heldbytes/guard.py
@@ -18,7 +18,7 @@
 # Turns of the loop in which an evicted connection or request ends.
 SETTLE_TURNS = 8
 # Time for which a new connection waits at most for stalled ones.
-MAX_ROOM_WAIT_S = 1.0
+MAX_ROOM_WAIT_S = 0.1
 ROOM_POLL_S = 0.01
 
 
