Read only answers in the test of a graceful close of a link

The link answers the peer's pings until its last message is sent, and the test took the pongs behind the 150 answers for further answers.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -162,10 +162,13 @@
                 received.extend(reader.feed(block))
                 await curio.sleep(0.001)
             await closing.join()
-            self.assertEqual(
-                [each.query_answer.attempt_id for each in received],
-                list(range(count)),
-            )
+            # The link also answers pings until its last message is sent.
+            answers = [
+                each.query_answer.attempt_id
+                for each in received
+                if each.HasField('query_answer')
+            ]
+            self.assertEqual(answers, list(range(count)))
 
         self.run_with_peer(scenario)
 
