Take keys and account names of clients out of every request

Without any accounts, the key and an X-Tenant that the client made up reached backend servers on every route.

Cause: the headers were removed only if the configuration in force at the host listed accounts. A configuration may always be older than the request, so this state can't decide whether a header is secret.

Change: platform/requestheaders decides by the request alone. The owner of handed over parts removes the headers again and sets the account of the message, because the asking host may run another release.

test_without_accounts_headers_are_forwarded demanded the fault. The test in its place demands that every other header arrives, on all four kinds of route, and that these two never do. It and the test of handed over parts failed before.

--- a/cardamomflow/delegatedparts.py
+++ b/cardamomflow/delegatedparts.py
@@ -10,7 +10,7 @@
 from cardamomflow import directory, errors, requeststate, routes, rules, scatter
 from cardamomflow.accounts import table
 from cardamomflow.generated import wire_pb2
-from cardamomflow.platform import backendlink
+from cardamomflow.platform import backendlink, requestheaders
 
 # Part of the target that is reserved for the network between two hosts of a
 # zone.
@@ -215,10 +215,13 @@
         backendlink.Message(
             caller_request.method,
             caller_request.target,
-            [
-                (header.name, header.content)
-                for header in caller_request.headers
-            ],
+            requestheaders.set_account(
+                [
+                    (header.name, header.content)
+                    for header in caller_request.headers
+                ],
+                request.account or None,
+            ),
             caller_request.body,
             caller_request.id,
         ),
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -254,11 +254,6 @@
             raise errors.NotFound(f'no route matches {host}{path}')
         return matching_route
 
-    @property
-    def has_accounts(self) -> bool:
-        """Whether requests need the API key of a client account."""
-        return self._table is not None and bool(self._table.accounts)
-
     def authenticate(
         self, route: routes.Route, key: str | None
     ) -> accounts_table.Account | None:
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -11,7 +11,7 @@
 
 from cardamomflow import errors, requeststate, routes, webhandler
 from cardamomflow.accounts import counters, table
-from cardamomflow.platform import backendlink, wire
+from cardamomflow.platform import backendlink, requestheaders, wire
 
 _OK = 200
 _MS = 1000
@@ -20,9 +20,6 @@
 CONNECT_TIME_S = 0.006
 # A number with more digits is not a plausible deadline in milliseconds.
 _MAX_DIGITS = 9
-_HEADERS_SET_BY_HOST = frozenset((wire.DEADLINE, wire.BACKEND_ID))
-# Headers that are removed from requests where there are client accounts.
-_ACCOUNT_HEADERS = frozenset((wire.API_KEY, wire.ACCOUNT))
 
 
 class Application(abc.ABC):
@@ -38,11 +35,6 @@
             No routes are available yet, or no route matches.
         """
 
-    @property
-    @abc.abstractmethod
-    def has_accounts(self) -> bool:
-        """Whether requests need the API key of a client account."""
-
     @abc.abstractmethod
     def authenticate(
         self, route: routes.Route, key: str | None
@@ -102,9 +94,7 @@
 
     async def handle(self, request: webhandler.Request) -> webhandler.Response:
         """Answer one request."""
-        key = None
-        if self._application.has_accounts:
-            key, request = _take_key(request)
+        key = requestheaders.find_key(request.raw_headers)
         headers = request.headers
         request_id = headers.get(wire.REQUEST_ID.decode())
         if request_id is None:
@@ -164,44 +154,15 @@
     return int(timeout_ms) / _MS
 
 
-def _take_key(
-    request: webhandler.Request,
-) -> tuple[str | None, webhandler.Request]:
-    """Return the API key, and the request without the headers of accounts.
-
-    Several keys are returned as one text, which no account holds.
-    """
-    keys = [
-        content for name, content in request.raw_headers if name == wire.API_KEY
-    ]
-    raw_headers = [
-        (name, content)
-        for name, content in request.raw_headers
-        if name not in _ACCOUNT_HEADERS
-    ]
-    headers = {
-        name: content
-        for name, content in request.headers.items()
-        if name.encode('latin-1') not in _ACCOUNT_HEADERS
-    }
-    # Line ends can't occur in a header, so no key contains one.
-    key = b'\n'.join(keys).decode(errors='surrogateescape') if keys else None
-    return key, request._replace(headers=headers, raw_headers=raw_headers)
-
-
 def _backend_message(
     request: webhandler.Request,
     request_id: str,
     account: table.Account | None,
 ) -> backendlink.Message:
-    headers = [
-        (name, content)
-        for name, content in request.raw_headers
-        if name not in wire.CONNECTION_HEADERS
-        and name not in _HEADERS_SET_BY_HOST
-    ]
-    if account is not None:
-        headers.append((wire.ACCOUNT, account.name.encode()))
+    headers = requestheaders.set_account(
+        requestheaders.select_forwarded(request.raw_headers),
+        None if account is None else account.name,
+    )
     if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
         headers.append((b'content-length', b'%d' % len(request.body)))
     return backendlink.Message(
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -260,6 +260,33 @@
         delegated.account = table.Account('alpha', rules.Rank.URGENT)
         self.assertIs(delegated.rank, rules.Rank.BULK)
 
+    def test_owner_of_a_part_removes_keys_of_other_releases(self):
+        """Guards against keys and accounts in the headers of a handover."""
+        headers = [
+            (b'host', b'h'),
+            (b'X-Key', KEY.encode()),
+            (b'x-tenant', b'beta'),
+            (b'content-length', b'0'),
+        ]
+        for account, expected in (
+            (None, []),
+            (table.Account('alpha'), [(b'x-tenant', b'alpha')]),
+        ):
+            work = requeststate.Work(
+                test_dispatching.make_route(),
+                ('a', 'b'),
+                backendlink.Message(b'GET', b'/x', headers, b'', b'r1'),
+                0,
+                requeststate.TimeBudget(1),
+                account,
+            )
+            request = delegatedparts.build_request(work, 1, ['a'], 'host', 0)
+            message = delegatedparts.build_work(request, 0).message
+            self.assertEqual(
+                message.headers,
+                [(b'host', b'h'), (b'content-length', b'0'), *expected],
+            )
+
 
 class EarlyRefusalTest(unittest.TestCase):
     """One account floods a service whose servers take 0.1 s for a request."""
@@ -413,16 +440,40 @@
             [headers.get('x-tenant') for headers in received].count(None), 1
         )
 
-    def test_without_accounts_headers_are_forwarded(self):
-        """Guards against a changed request where there are no accounts."""
+    def test_without_accounts_no_route_passes_a_key_on(self):
+        """Guards against a host without accounts that trusts its callers."""
+        targets = (
+            ('/statement/x', 'GET'),
+            ('/lookup/x', 'GET'),
+            ('/report/x', 'GET'),
+            ('/payment/x', 'POST'),
+        )
 
         async def scenario(world):
-            answer = await world.ask('/statement/x', KEY)
-            return answer.status, world.received()
+            return [
+                (
+                    await world.send_request(
+                        target,
+                        method,
+                        headers=[
+                            ('X-Key', KEY),
+                            ('X-Tenant', 'beta'),
+                            ('X-Other', target),
+                        ],
+                    )
+                ).status
+                for target, method in targets
+            ], world.received()
 
-        status, (headers,) = self.run_scenario(scenario, PlainWorld)
-        self.assertEqual(status, 200)
-        self.assertEqual((headers['x-key'], headers['x-tenant']), (KEY, 'beta'))
+        statuses, received = self.run_scenario(scenario, PlainWorld)
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(
+            {headers['x-other'] for headers in received},
+            {target for target, _ in targets},
+        )
+        for headers in received:
+            self.assertNotIn('x-key', headers)
+            self.assertNotIn('x-tenant', headers)
 
     def test_missing_unknown_and_repeated_keys_are_refused(self):
         """Guards against requests that get in without an account."""
