Quote no input of a parser in errors

Cause: the HTTP parser quotes what it read. A response of the store that loses its framing put a part of the configuration, with the keys of accounts, into the log line about the lost platform; the error about a malformed request for parts quoted its header. Only the reader of callers' requests cut the text, at a colon that some of the messages lack.

Change: errors.describe_malformed cuts the message where the quotation begins. The errors are no longer chained to the parser's, which a traceback would show.

Measured: both new tests failed before, with the secret in the message.

--- a/cardamomflow/errors.py
+++ b/cardamomflow/errors.py
@@ -8,10 +8,14 @@
 
 import enum
 import http
+import re
 from typing import ClassVar, NamedTuple
 
 from cardamomflow import exitstatus
 
+# Where a parser's message begins to quote its input.
+_QUOTED_INPUT = re.compile(r"""[: ]*(?:bytearray\()?\bb['"].*""", re.DOTALL)
+
 
 class Outcome(enum.StrEnum):
     """Whether the work of a failed request was run, as far as known."""
@@ -394,3 +398,8 @@
     for error_type in error_types:
         error_types.extend(error_type.__subclasses__())
     return error_types
+
+
+def describe_malformed(error: Exception) -> str:
+    """Return a parser's reason without the input, which may hold secrets."""
+    return _QUOTED_INPUT.sub('', str(error))
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -91,9 +91,10 @@
             headers=message.headers,
         )
     except h11.LocalProtocolError as error:
+        reason = errors.describe_malformed(error)
         raise errors.ProtocolViolation(
-            f'no request can have this head: {error}'
-        ) from error
+            f'no request can have this head: {reason}'
+        ) from None
 
 
 class AttemptListener(abc.ABC):
--- a/cardamomflow/requestreading.py
+++ b/cardamomflow/requestreading.py
@@ -309,9 +309,8 @@
                 raise errors.HeadTooLarge(
                     f'the head exceeds {self._read_bounds().head_bytes} bytes'
                 ) from error
-            # The text after the colon quotes the input, which may be a key.
-            reason = str(error).partition(':')[0]
-            raise errors.BadRequest(f'malformed HTTP: {reason}') from error
+            reason = errors.describe_malformed(error)
+            raise errors.BadRequest(f'malformed HTTP: {reason}') from None
 
     async def _receive(self, limit: int) -> bool:
         """Receive a block; return whether there was any input.
--- a/cardamomflow/webclient.py
+++ b/cardamomflow/webclient.py
@@ -124,7 +124,7 @@
                 f'connection to {self._authority} ended: {error}'
             ) from error
         except h11.RemoteProtocolError as error:
-            raise self._classify(error) from error
+            raise self._classify(error) from None
         finally:
             self._exchanging = False
             self._body_budget.release(self._authority, self)
@@ -193,12 +193,13 @@
         return event
 
     def _classify(self, error: h11.RemoteProtocolError) -> errors.FlowError:
+        reason = errors.describe_malformed(error)
         if self._input_ended:
             return errors.PeerLost(
-                f'{self._authority} closed the connection: {error}'
+                f'{self._authority} closed the connection: {reason}'
             )
         return errors.ProtocolViolation(
-            f'malformed HTTP from {self._authority}: {error}'
+            f'malformed HTTP from {self._authority}: {reason}'
         )
 
     def _check_response(self, response: h11.Response) -> None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -287,6 +287,14 @@
                 [(b'host', b'h'), (b'content-length', b'0'), *expected],
             )
 
+    def test_error_does_not_quote_a_malformed_request(self):
+        """Guards against secrets in errors that are logged."""
+        for header in ((b'x-a', b'secret\x00'), (b'secret:', b'a')):
+            message = backendlink.Message(b'GET', b'/x', [header], b'', b'r1')
+            with self.assertRaises(errors.ProtocolViolation) as caught:
+                backendlink.create_request_event(message)
+            self.assertNotIn('secret', caught.exception.message)
+
 
 class EarlyRefusalTest(unittest.TestCase):
     """One account floods a service whose servers take 0.1 s for a request."""
--- a/tests/test_webclient.py
+++ b/tests/test_webclient.py
@@ -101,6 +101,19 @@
             [b'nonsense\r\n\r\n'], errors.ProtocolViolation, close_at_end=False
         )
 
+    def test_error_does_not_quote_a_malformed_response(self):
+        """Guards against keys of a configuration in the log."""
+        for block in (
+            b'{"api_keys": ["secret-1"]}\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nsecret-1\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'1\r\naxsecret-1\r\n',
+        ):
+            error = self.assert_fails(
+                [block], errors.ProtocolViolation, close_at_end=False
+            )
+            self.assertNotIn('secret', error.message)
+
     def test_oversized_head(self):
         """Guards against unbounded memory for a head."""
         block = b'HTTP/1.1 200 OK\r\nx: ' + b'a' * 100_000
