Ask hosts of other zones for changes where a zone has few hosts

Cause: a turned-away host asked its own group only, and groups of fewer than three hosts have no links. A host that had newer changes was also refused as a source if its last confirmation was no newer than the asking host's own.

Change: in a zone of one or two hosts, a turned-away host also asks the first two hosts of each other zone by rank, which it dials only then. A host that has changes which the asking one lacks is always accepted.

--- a/cardamomflow/changefeed.py
+++ b/cardamomflow/changefeed.py
@@ -429,15 +429,23 @@
         When the platform confirmed what this host knows.
     now : float
     """
+    reached = (update.era, update.revision)
+    if reached > position:
+        # It has changes that this host lacks, however old its confirmation is.
+        return True
     is_newer = update.confirmed_at > known_at + MINIMUM_GAIN_S
     is_recent = now - update.confirmed_at < MAX_SOURCE_AGE_S
-    is_ahead = (update.era, update.revision) >= position
-    return is_newer and is_recent and is_ahead
+    return is_newer and is_recent and reached == position
 
 
 def rank_relays(group: Iterable[ownership.Member]) -> list[str]:
     """Return the ids of a group, the preferred relay first."""
-    return sorted((member.host_id for member in group), key=_relay_rank)
+    return [member.host_id for member in sorted(group, key=relay_order)]
+
+
+def relay_order(member: ownership.Member) -> int:
+    """Return the sort key of hosts as relays, the preferred one first."""
+    return _relay_rank(member.host_id)
 
 
 def _relay_rank(host_id: str) -> int:
--- a/cardamomflow/feedlinks.py
+++ b/cardamomflow/feedlinks.py
@@ -4,9 +4,11 @@
 and `feedrelay` is the side that relays updates to others.
 
 A host that the platform turns away asks other hosts for heartbeats (probes),
-and subscribes to the first one that knows something newer.
+and subscribes to the first one that knows something newer. In a group that is
+too small to relay the feed, it also asks hosts of other zones.
 """
 
+import contextlib
 from collections.abc import Iterator
 
 import curio
@@ -15,12 +17,15 @@
     changefeed,
     context,
     discovery,
+    errors,
     events,
     feedrelay,
     peering,
 )
 from cardamomflow.generated import wire_pb2
 
+# A trip between the zones of a region takes a few milliseconds.
+DIAL_TIMEOUT_S = 0.5
 _MS = 1000
 
 
@@ -146,6 +151,9 @@
             relay is not None
             and not self._relay_is_turned_away
             and self._subscription.outranks(relay)
+            and any(
+                member.host_id == relay for member in self._peer_client.group
+            )
         )
 
     async def _probe(self, now: float) -> None:
@@ -155,16 +163,33 @@
             self._failing_since = now
         for host_id in self._search.next_probes(self._candidates(now), now):
             self._metrics.increment('host.feed_probes')
-            await self._request(host_id, probe=True)
+            if self._peer_client.links.link_to(host_id) is None:
+                await curio.spawn(self._dial_and_probe, host_id, daemon=True)
+            else:
+                await self._request(host_id, probe=True)
+
+    async def _dial_and_probe(self, host_id: str) -> None:
+        """Ask a host of another zone, which has no permanent link."""
+        try:
+            await self._peer_client.links.dial(host_id, DIAL_TIMEOUT_S)
+        except errors.ConnectFailed:
+            return
+        await self._request(host_id, probe=True)
 
     def _candidates(self, now: float) -> Iterator[str]:
-        """Yield the hosts of the group that may be sources, by rank."""
-        reachable = self._peer_client.reachable()
-        for host_id in changefeed.rank_relays(self._peer_client.group):
-            is_own = host_id == self._peer_client.owners.own.host_id
-            if is_own or host_id not in reachable:
-                continue
-            if not self._subscription.is_incomplete(host_id, now):
+        """Yield the hosts that may be sources: of the group, then distant."""
+        client = self._peer_client
+        reachable, usable = client.reachable(), client.links.usable()
+        near_ids = changefeed.rank_relays(client.group)
+        distant_ids = [member.host_id for member in client.distant_sources]
+        for host_id in (
+            *filter(reachable.__contains__, near_ids),
+            *filter(usable.__contains__, distant_ids),
+        ):
+            is_own = host_id == client.owners.own.host_id
+            if not is_own and not self._subscription.is_incomplete(
+                host_id, now
+            ):
                 yield host_id
 
     async def _follow_substitute(
@@ -228,9 +253,6 @@
         probe: bool = False,
         wants_lists: bool = False,
     ) -> None:
-        link = self._peer_client.links.link_to(host_id)
-        if link is None:
-            return
         request = wire_pb2.FeedRequest(
             revision=self._position.revision,
             era=self._position.era,
@@ -240,7 +262,10 @@
             probe=probe,
             sent_ms=feedrelay.to_ms(self._clock()),
         )
-        await link.post_if_open(wire_pb2.Envelope(feed_request=request))
+        with contextlib.suppress(errors.ConnectFailed):
+            await self._peer_client.links.post(
+                host_id, wire_pb2.Envelope(feed_request=request)
+            )
 
     async def _receive(
         self, host_id: str, message: wire_pb2.FeedUpdate
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import itertools
 from collections.abc import Container, Iterable
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 from cardamomflow import (
     aggregatorlinks,
+    changefeed,
     context,
     delegatedparts,
     delegation,
@@ -33,6 +35,9 @@
 MEMBER_RETENTION_S = 30.0
 # In smaller groups, the links cost about as much as the calls that they save.
 MINIMUM_FEED_HOSTS = 3
+# Hosts of each other zone that a host of a smaller group asks for changes while
+# the platform turns it away.
+DISTANT_SOURCES_PER_ZONE = 2
 _OwnershipInputs = tuple[
     set[ownership.Member], frozenset[str], ownership.Placement
 ]
@@ -174,11 +179,8 @@
         }
         self.owners.apply(current_members, backend_zones, placement)
         await self.links.apply(
-            [
-                routing.Aggregator(member.host_id, member.address, member.port)
-                for member in group
-            ]
-            for group in self._linked_groups()
+            (list(map(_to_linked, group)) for group in self._linked_groups()),
+            map(_to_linked, self.distant_sources),
         )
         return True
 
@@ -187,6 +189,26 @@
         """The linked hosts of the own zone with this one; empty without it."""
         return self.owners.own_group if self._linked_groups() else ()
 
+    @property
+    def distant_sources(self) -> list[ownership.Member]:
+        """Hosts of other zones to ask for changes, some of each zone.
+
+        None where the own group is large enough to relay the feed. These hosts
+        are dialed when they are asked.
+        """
+        if len(self.owners.own_group) >= MINIMUM_FEED_HOSTS:
+            return []
+        members, _, _ = self._ownership_inputs
+        by_zone: dict[str, list[ownership.Member]] = {}
+        for member in sorted(members, key=changefeed.relay_order):
+            by_zone.setdefault(member.availability_zone, []).append(member)
+        by_zone.pop(self.owners.own.availability_zone, None)
+        turns = itertools.zip_longest(*by_zone.values())
+        chosen = itertools.chain.from_iterable(
+            itertools.islice(turns, DISTANT_SOURCES_PER_ZONE)
+        )
+        return [member for member in chosen if member is not None]
+
     def reachable(self) -> Container[str]:
         """Return the ids of the hosts that can receive messages now."""
         return _ReachableHosts(self.links)
@@ -531,5 +553,9 @@
 _GOING_AWAY = wire_pb2.Envelope(going_away=wire_pb2.GoingAway())
 
 
+def _to_linked(member: ownership.Member) -> routing.Aggregator:
+    return routing.Aggregator(member.host_id, member.address, member.port)
+
+
 def _ignore_holdings(_: object) -> None:
     """Ignore holdings updates, which hosts do not send."""
--- a/tests/hostworld.py
+++ b/tests/hostworld.py
@@ -33,6 +33,8 @@
     """Runs the stand-ins and the host within an `async with` block."""
 
     max_body_bytes = 100_000
+    # Availability zones of hosts that are not in `z1`, by id.
+    zones_by_host = {}
 
     def __init__(
         self, services=('a', 'b'), replicas=2, zones=('z1',), **settings
@@ -79,7 +81,7 @@
         client = kvstore.KvStore('127.0.0.1', store_port, 0.5)
         created = users.host_settings(
             host_id,
-            'z1',
+            self.zones_by_host.get(host_id, 'z1'),
             store_port,
             retry_share=1.0,
             retry_burst=100,
--- a/tests/test_changefeed.py
+++ b/tests/test_changefeed.py
@@ -233,6 +233,14 @@
                 changefeed.is_useful_source(heartbeat, at(10), -5.0, now)
             )
 
+    def test_source_that_is_ahead_is_useful_however_old(self):
+        """Guards against a host that ignores changes it can get."""
+        heartbeat = update(12, 12, b'', confirmed_at=0.0)
+        now = 2 * changefeed.MAX_SOURCE_AGE_S
+        self.assertTrue(
+            changefeed.is_useful_source(heartbeat, at(10), now, now)
+        )
+
     def test_source_that_grew_old_may_be_used_again(self):
         """Guards against avoiding the host that recovers first."""
         self.subscription.switch_relay('h1', 0.0)
--- a/tests/test_feedlinks.py
+++ b/tests/test_feedlinks.py
@@ -84,6 +84,12 @@
     def link_to(self, host_id):
         return self._links_by_id[host_id]
 
+    def usable(self):
+        return self._links_by_id
+
+    async def post(self, host_id, envelope):
+        await self._links_by_id[host_id].post(envelope)
+
 
 class PeerClient:
     """Provides the group and the links of one host."""
@@ -94,6 +100,7 @@
             members[own_id], list(members.values())
         )
         self.group = tuple(members.values())
+        self.distant_sources = []
         self.links = Links(network, own_id)
         self._network = network
 
--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -49,7 +49,9 @@
                 host_id, peers=test_peering.reserve_address()
             )
         self.ranked_ids = sorted(self.hosts_by_id, key=test_peering.relay_rank)
-        await loops.until(self.is_settled, limit_s=30)
+        await self.until_listed()
+        if not self.zones_by_host:
+            await loops.until(self.is_settled, limit_s=30)
         return self
 
     def store_port_of(self, host_id):
@@ -61,6 +63,16 @@
             for host_id, parts in self.hosts_by_id.items()
         }
 
+    async def until_listed(self):
+        """Wait until every host knows the others."""
+        await loops.until(
+            lambda: all(
+                len(parts.follower.view.members_by_id) == len(self.hosts_by_id)
+                for parts in self.hosts_by_id.values()
+            ),
+            limit_s=30,
+        )
+
     def is_settled(self):
         """Return whether all hosts follow the first one by rank."""
         first, *others = self.ranked_ids
@@ -120,12 +132,20 @@
             door.serve_again()
 
 
-def play(scenario):
+class SmallZonesWorld(TurnedAwayWorld):
+    """Hosts of zones that are too small for a relay of their own."""
+
+    zones_by_host = {
+        f'host-{number}': f'z{number % 3}' for number in range(1, HOSTS + 1)
+    }
+
+
+def play(scenario, world=TurnedAwayWorld):
     with (
         mock.patch.object(discovery, 'ANNOUNCE_INTERVAL_S', 0.1),
         mock.patch.object(loops, 'TIME_LIMIT_S', 60),
     ):
-        return hostworld.run_scenario(scenario, TurnedAwayWorld)
+        return hostworld.run_scenario(scenario, world)
 
 
 class CallCauses:
@@ -377,6 +397,50 @@
         self.assertLessEqual(watches * HOSTS, 1.2 * most)
         self.assertEqual(dials, 0)
 
+    def test_host_of_a_small_zone_learns_changes_from_other_zones(self):
+        """Guards against a host that asks nobody as its zone is too small."""
+
+        async def scenario(world):
+            refused = world.hosts_by_id['host-1']
+            world.turn_away(['host-1'], **fault)
+            world.publish(2, '/search/')
+            await world.until_in_force(2)
+            await curio.sleep(1)
+            world.publish(3, '/third/')
+            await world.until_in_force(3)
+            relay_before = refused.feed_links.relay
+            world.serve_again()
+            await loops.until(
+                lambda: refused.feed_links.relay is None, limit_s=5
+            )
+            return relay_before
+
+        for fault in FAULTS:
+            with self.subTest(**fault):
+                relay = play(scenario, SmallZonesWorld)
+                zones_by_host = SmallZonesWorld.zones_by_host
+                self.assertNotEqual(
+                    zones_by_host.get(relay, 'z1'), zones_by_host['host-1']
+                )
+
+    def test_outage_for_small_zones_causes_few_messages(self):
+        """Guards against hosts that dial each other again and again."""
+        span_s = 4.0
+
+        async def scenario(world):
+            world.turn_away(world.hosts_by_id, status=503)
+            await curio.sleep(changefeed.MAX_AGE_S + 1)
+            before = world.totals()
+            await curio.sleep(span_s)
+            after = world.totals()
+            return (after[0] - before[0]) / span_s / HOSTS, after[2] - before[2]
+
+        probes, failed_dials = play(scenario, SmallZonesWorld)
+        self.assertLessEqual(
+            probes, changefeed.PROBES_PER_ROUND / changefeed.PROBE_INTERVAL_S
+        )
+        self.assertEqual(failed_dials, 0)
+
     def test_single_failed_call_replaces_no_relay(self):
         """Guards against a group that moves at each failed call."""
 
