Look for accounts before a keyed request runs without one

Cause: a host that knows no accounts did not look at keys. A key shows that its sender may know a newer configuration.

Nothing is refused: clients have to send keys before accounts are introduced, and an outage of the store would then cost all of their requests.

--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -32,7 +32,7 @@
     webserver,
 )
 from cardamomflow import settings as settings_module
-from cardamomflow.accounts import counters
+from cardamomflow.accounts import check, counters
 from cardamomflow.generated import wire_pb2
 from cardamomflow.heldbytes import guard, sizing
 from cardamomflow.platform import front
@@ -250,6 +250,9 @@
     follower = discovery.Follower(
         store, program.directory, program, feed_links, process_context
     )
+    program.accounts_check = check.AccountsCheck(
+        store, follower, process_context
+    )
     peer_server = peering.PeerServer(process_context, program, feed_links)
     peer_server.token_server = program.quotas
     peer_listener = None
--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -117,6 +117,10 @@
         `interrupt`.
         """
 
+    @abc.abstractmethod
+    async def hasten(self) -> None:
+        """Make `next_substitute` ask other hosts at once, for a moment."""
+
     @abc.abstractmethod
     async def interrupt(self) -> None:
         """Make `next_substitute` return None."""
@@ -253,6 +257,8 @@
         # Whether the newest changes came from another host.
         self._has_relayed = False
         self._started_at = process_context.clock()
+        # Set to end the pause that collects further changes.
+        self._hastened = curio.Event()
         process_context.metrics.register_gauge(
             'host.store_era', lambda: source.newest_era
         )
@@ -271,6 +277,11 @@
         finally:
             await self._cancel_attempt()
 
+    async def ask_hosts(self) -> None:
+        """Ask other hosts for changes, without a wait for their answers."""
+        await self._peers.hasten()
+        await self._hastened.set()
+
     async def _follow(self) -> None:
         position: changefeed.Position | None = None
         while True:
@@ -492,7 +503,9 @@
         )
         should_pause = changes.table is None and not self._is_behind
         if should_pause and changed:
-            await curio.sleep(self._batching_s())
+            self._hastened.clear()
+            async with curio.ignore_after(self._batching_s()):
+                await self._hastened.wait()
         return reached
 
     async def _apply_from_store(
--- a/cardamomflow/events.py
+++ b/cardamomflow/events.py
@@ -27,6 +27,7 @@
     ROUTES_IN_FORCE = 'routes in force'
     ACCOUNTS_IN_FORCE = 'accounts in force'
     ACCOUNTS_IGNORED = 'accounts ignored'
+    ACCOUNTS_UNCONFIRMED = 'accounts not confirmed'
     CONFIGURATION_IN_FORCE = 'configuration in force'
     BACKEND_CHANGED = 'backend server changed'
     BACKEND_LEAVING = 'backend server leaving'
--- a/cardamomflow/feedlinks.py
+++ b/cardamomflow/feedlinks.py
@@ -9,6 +9,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Iterator
 
 import curio
@@ -26,6 +27,8 @@
 
 # A trip between the zones of a region takes a few milliseconds.
 DIAL_TIMEOUT_S = 0.5
+# Time for which a search that was hastened goes on without an answer.
+HASTENED_S = 1.0
 _MS = 1000
 
 
@@ -46,6 +49,8 @@
         self._position = changefeed.Position(0, 0)
         self._update_received = curio.Event()
         self._search = changefeed.SourceSearch()
+        # Until when hosts are asked although the platform may still answer.
+        self._hastened_until = float('-inf')
         # Whether `next_substitute` has to return.
         self._is_interrupted = False
         self._relay_is_turned_away = False
@@ -119,11 +124,19 @@
         if self._subscription.relay is not None:
             return self._subscription.wait_s(now)
         await self._unsubscribe()
-        if now < search_at:
+        if now < search_at and now >= self._hastened_until:
+            if math.isfinite(self._hastened_until):
+                self._hastened_until = float('-inf')
+                self._search.stop()
             return search_at - now
         await self._probe(now)
         return self._search.wait_s(now)
 
+    async def hasten(self) -> None:
+        """Make `next_substitute` ask other hosts at once, for a moment."""
+        self._hastened_until = self._clock() + HASTENED_S
+        await self._update_received.set()
+
     async def interrupt(self) -> None:
         """Make `next_substitute` return None."""
         self._is_interrupted = True
@@ -158,7 +171,8 @@
 
     async def _probe(self, now: float) -> None:
         """Ask some hosts of the group for their newest heartbeat."""
-        if self._failing_since is None:
+        is_hastened = now < self._hastened_until
+        if self._failing_since is None and not is_hastened:
             # The platform is silent, and the call has not failed yet.
             self._failing_since = now
         for host_id in self._search.next_probes(self._candidates(now), now):
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -35,7 +35,7 @@
     servicezones,
     zonewatch,
 )
-from cardamomflow.accounts import authentication
+from cardamomflow.accounts import authentication, check
 from cardamomflow.accounts import table as accounts_table
 from cardamomflow.coldstarts import allocation
 from cardamomflow.platform import front
@@ -81,6 +81,8 @@
         self.on_bounds_changed: Callable[[serverconnection.Bounds], None] = (
             _ignore_bounds
         )
+        # Set by the composition root.
+        self.accounts_check: check.AccountsCheck | None = None
         self.directory = directory.Directory()
         self._context = process_context
         self._clock = process_context.clock
@@ -117,7 +119,6 @@
     async def on_routes_changed(self, table: routes.RouteTable) -> None:
         """Apply the routes of a newer revision."""
         self._table = table
-        _log_accounts(self._context.journal, table)
         self._answer_time.clear()
         self.grace_period.retain(table.names)
         self._dispatcher.apply(table)
@@ -137,6 +138,9 @@
                 idle_timeout_s=table.limits.idle_timeout_s,
             )
         )
+        await _report_accounts(
+            self._context.journal, table, self.accounts_check
+        )
 
     async def on_backends_changed(
         self, changes: Iterable[directory.Change]
@@ -254,6 +258,16 @@
             raise errors.NotFound(f'no route matches {host}{path}')
         return matching_route
 
+    async def check_accounts(self, remaining_s: float) -> float:
+        """Find out whether accounts were introduced; return the wait."""
+        if self.accounts_check is None or self._table is None:
+            return 0
+        if self._table.accounts:
+            return 0
+        started_at = self._clock()
+        await self.accounts_check.wait(remaining_s)
+        return self._clock() - started_at
+
     def authenticate(
         self, route: routes.Route, key: str | None
     ) -> accounts_table.Account | None:
@@ -455,8 +469,15 @@
     dispatcher.cold_servers.update_view(view, now)
 
 
-def _log_accounts(journal: logbook.Logger, table: routes.RouteTable) -> None:
-    """Log which accounts are in force, and which parts are ignored."""
+async def _report_accounts(
+    journal: logbook.Logger,
+    table: routes.RouteTable,
+    accounts_check: check.AccountsCheck | None,
+) -> None:
+    """Log which accounts are in force, and which parts are ignored.
+
+    Ends a check for accounts too, since newer routes are in force.
+    """
     accounts = table.accounts
     if accounts:
         journal.info(
@@ -471,6 +492,8 @@
             problems=accounts.problems[:MAX_LOGGED_PROBLEMS],
             count=len(accounts.problems),
         )
+    if accounts_check is not None:
+        await accounts_check.on_routes_changed()
 
 
 def _real_age_s(confirmation_age: authentication.ConfirmationAge) -> float:
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -115,6 +115,13 @@
         '',
         'Updates and heartbeats of the change feed to subscribers.',
     ),
+    MetricDefinition(
+        'host.account_checks',
+        'host_account_checks',
+        'outcome',
+        'Checks for accounts after a key at a host that knows none; `answered`'
+        ' by the store or by a newer configuration, or `unanswered`.',
+    ),
     MetricDefinition(
         'host.feed_probes',
         'host_feed_probes',
--- a/cardamomflow/platform/front.py
+++ b/cardamomflow/platform/front.py
@@ -35,6 +35,21 @@
             No routes are available yet, or no route matches.
         """
 
+    @abc.abstractmethod
+    async def check_accounts(self, remaining_s: float) -> float:
+        """Find out whether accounts were introduced, for a request with a key.
+
+        Parameters
+        ----------
+        remaining_s : float
+            Time that the request has left.
+
+        Returns
+        -------
+        float
+            Seconds that the request waited.
+        """
+
     @abc.abstractmethod
     def authenticate(
         self, route: routes.Route, key: str | None
@@ -99,6 +114,9 @@
         request_id = headers.get(wire.REQUEST_ID.decode())
         if request_id is None:
             raise errors.BadRequest('the request has no x-request-id header')
+        remaining_s = _caller_timeout_s(headers)
+        if key is not None:
+            remaining_s -= await self._application.check_accounts(remaining_s)
         try:
             route = self._application.route(
                 _host_name(headers), request.path.partition('?')[0]
@@ -112,7 +130,7 @@
                 route,
                 _backend_message(request, request_id, account),
                 requeststate.TimeBudget(
-                    _caller_timeout_s(headers),
+                    remaining_s,
                     CONNECT_TIME_S if request.is_first else 0,
                 ),
                 account,
--- a/cardamomflow/platform/kvstore.py
+++ b/cardamomflow/platform/kvstore.py
@@ -127,6 +127,19 @@
             self._record_vanished()
         return _parse_lists([*items, *host_items, *operator_items], revision)
 
+    async def read_routes(self) -> platformsource.Changes:
+        """Return the routes in force, without the other entries."""
+        reply = await self._channel.read(
+            _build_target('kv-key', key=wire.CONFIGURATION_KEY)
+        )
+        table = None
+        if reply.status == http.HTTPStatus.OK:
+            item = jsonbody.parse_object(reply.body, errors.ProtocolViolation)
+            table = documents.parse_routes(_decode_value(item))
+        return platformsource.Changes(
+            table, [], [], 0, era=channel.era_of(reply)
+        )
+
     async def watch(
         self, revision: int, wait_s: float
     ) -> platformsource.Changes:
--- a/cardamomflow/platformsource.py
+++ b/cardamomflow/platformsource.py
@@ -104,6 +104,10 @@
     async def read(self) -> Changes:
         """Return the routes in force and all entries."""
 
+    @abc.abstractmethod
+    async def read_routes(self) -> Changes:
+        """Return the routes in force alone; their era, and no revision."""
+
     @abc.abstractmethod
     async def watch(self, revision: int, wait_s: float) -> Changes:
         """Wait for changes.
--- a/cardamomflow/platformview.py
+++ b/cardamomflow/platformview.py
@@ -77,6 +77,8 @@
         self._journal = process_context.journal
         self._clock = process_context.clock
         self._routes_revision = -1
+        # Newer routes may be found by several tasks.
+        self._routes_lock = curio.Lock()
         # Era in which the version of the routes in force was first seen.
         self._routes_era = 0
         self._backend_revisions_by_id: dict[str, int] = {}
@@ -125,7 +127,7 @@
         # Before the backend servers, so that those of an evacuated zone get no
         # work when this host starts.
         await self._apply_evacuations(changes.evacuations)
-        await self._apply_routes(changes.table, changes.era)
+        await self.apply_routes(changes.table, changes.era)
         applied = [self._apply_backend(entry) for entry in changes.entries]
         await self._report_backends(
             [change for change in applied if change is not None]
@@ -177,7 +179,7 @@
             member for member in members_by_id.values() if member is not None
         )
 
-    async def _apply_routes(
+    async def apply_routes(
         self, table: routes.RouteTable | None, era: int
     ) -> None:
         """Put newer routes in force.
@@ -185,6 +187,12 @@
         After the platform lost changes, the operator may write the version in
         force again.
         """
+        async with self._routes_lock:
+            await self._apply_routes(table, era)
+
+    async def _apply_routes(
+        self, table: routes.RouteTable | None, era: int
+    ) -> None:
         if table is None or table.revision < self._routes_revision:
             return
         if table.revision == self._routes_revision:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -69,6 +69,9 @@
     async def read(self):
         raise NotImplementedError
 
+    async def read_routes(self):
+        raise NotImplementedError
+
     async def watch(self, revision, wait_s):
         return self.parse(page(revision + 1))
 
@@ -126,6 +129,9 @@
         await self._interrupted.wait()
         self._interrupted.clear()
 
+    async def hasten(self):
+        raise NotImplementedError
+
     async def interrupt(self):
         await self._interrupted.set()
 
