Ask the other host of a small zone for changes as well

A host of a zone with two hosts that the store turns away asked the hosts of other zones, and not its neighbour, which is nearer and may be the only one that a partition leaves. Links of the group exist from three hosts on, so it has to be dialed like the others.

The test of other zones turns both hosts of its zone away now, so that it still shows what its name says.

--- a/cardamomflow/feedlinks.py
+++ b/cardamomflow/feedlinks.py
@@ -5,7 +5,7 @@
 
 A host that the platform turns away asks other hosts for heartbeats (probes),
 and subscribes to the first one that knows something newer. In a group that is
-too small to relay the feed, it also asks hosts of other zones.
+too small to relay the feed, it dials hosts of all zones for that.
 """
 
 import contextlib
@@ -170,7 +170,7 @@
         )
 
     async def _probe(self, now: float) -> None:
-        """Ask some hosts of the group for their newest heartbeat."""
+        """Ask some hosts for their newest heartbeat."""
         is_hastened = now < self._hastened_until
         if self._failing_since is None and not is_hastened:
             # The platform is silent, and the call has not failed yet.
@@ -183,7 +183,7 @@
                 await self._request(host_id, probe=True)
 
     async def _dial_and_probe(self, host_id: str) -> None:
-        """Ask a host of another zone, which has no permanent link."""
+        """Ask a host that has no permanent link."""
         try:
             await self._peer_client.links.dial(host_id, DIAL_TIMEOUT_S)
         except errors.ConnectFailed:
@@ -191,15 +191,16 @@
         await self._request(host_id, probe=True)
 
     def _candidates(self, now: float) -> Iterator[str]:
-        """Yield the hosts that may be sources: of the group, then distant."""
+        """Yield the hosts that may be sources: of the group, then others."""
         client = self._peer_client
         reachable, usable = client.reachable(), client.links.usable()
-        near_ids = changefeed.rank_relays(client.group)
-        distant_ids = [member.host_id for member in client.distant_sources]
-        for host_id in (
-            *filter(reachable.__contains__, near_ids),
-            *filter(usable.__contains__, distant_ids),
-        ):
+        linked_ids = changefeed.rank_relays(client.group)
+        dialed_ids = [member.host_id for member in client.dialed_sources]
+        candidate_ids = (
+            *filter(reachable.__contains__, linked_ids),
+            *filter(usable.__contains__, dialed_ids),
+        )
+        for host_id in dict.fromkeys(candidate_ids):
             is_own = host_id == client.owners.own.host_id
             if not is_own and not self._subscription.is_incomplete(
                 host_id, now
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -35,9 +35,9 @@
 MEMBER_RETENTION_S = 30.0
 # In smaller groups, the links cost about as much as the calls that they save.
 MINIMUM_FEED_HOSTS = 3
-# Hosts of each other zone that a host of a smaller group asks for changes while
-# the platform turns it away.
-DISTANT_SOURCES_PER_ZONE = 2
+# Hosts of each zone that a host of a smaller group dials for changes while the
+# platform turns it away.
+DIALED_SOURCES_PER_ZONE = 2
 _OwnershipInputs = tuple[
     set[ownership.Member], frozenset[str], ownership.Placement
 ]
@@ -180,7 +180,7 @@
         self.owners.apply(current_members, backend_zones, placement)
         await self.links.apply(
             (list(map(_to_linked, group)) for group in self._linked_groups()),
-            map(_to_linked, self.distant_sources),
+            map(_to_linked, self.dialed_sources),
         )
         return True
 
@@ -190,22 +190,22 @@
         return self.owners.own_group if self._linked_groups() else ()
 
     @property
-    def distant_sources(self) -> list[ownership.Member]:
-        """Hosts of other zones to ask for changes, some of each zone.
+    def dialed_sources(self) -> list[ownership.Member]:
+        """Hosts to dial for changes, some of each zone, the own zone first.
 
-        None where the own group is large enough to relay the feed. These hosts
-        are dialed when they are asked.
+        Empty where the own group is large enough to relay the feed.
         """
         if len(self.owners.own_group) >= MINIMUM_FEED_HOSTS:
             return []
         members, _, _ = self._ownership_inputs
-        by_zone: dict[str, list[ownership.Member]] = {}
+        own = self.owners.own
+        by_zone: dict[str, list[ownership.Member]] = {own.availability_zone: []}
         for member in sorted(members, key=changefeed.relay_order):
-            by_zone.setdefault(member.availability_zone, []).append(member)
-        by_zone.pop(self.owners.own.availability_zone, None)
+            if member.host_id != own.host_id:
+                by_zone.setdefault(member.availability_zone, []).append(member)
         turns = itertools.zip_longest(*by_zone.values())
         chosen = itertools.chain.from_iterable(
-            itertools.islice(turns, DISTANT_SOURCES_PER_ZONE)
+            itertools.islice(turns, DIALED_SOURCES_PER_ZONE)
         )
         return [member for member in chosen if member is not None]
 
--- a/tests/test_feedlinks.py
+++ b/tests/test_feedlinks.py
@@ -100,7 +100,7 @@
             members[own_id], list(members.values())
         )
         self.group = tuple(members.values())
-        self.distant_sources = []
+        self.dialed_sources = []
         self.links = Links(network, own_id)
         self._network = network
 
--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -402,7 +402,8 @@
 
         async def scenario(world):
             refused = world.hosts_by_id['host-1']
-            world.turn_away(['host-1'], **fault)
+            # All hosts of the zone.
+            world.turn_away(['host-1', 'host-4'], **fault)
             world.publish(2, '/search/')
             await world.until_in_force(2)
             await curio.sleep(1)
@@ -423,6 +424,20 @@
                     zones_by_host.get(relay, 'z1'), zones_by_host['host-1']
                 )
 
+    def test_host_of_a_small_zone_learns_changes_from_its_neighbour(self):
+        """Guards against a host that asks far hosts only."""
+
+        async def scenario(world):
+            refused_ids = world.hosts_by_id.keys() - {'host-4'}
+            world.turn_away(refused_ids, **fault)
+            world.publish(2, '/search/')
+            await world.until_in_force(2)
+            return True
+
+        for fault in FAULTS:
+            with self.subTest(**fault):
+                self.assertTrue(play(scenario, SmallZonesWorld))
+
     def test_outage_for_small_zones_causes_few_messages(self):
         """Guards against hosts that dial each other again and again."""
         span_s = 4.0
