--- a/review/11/trial.py
+++ b/review/11/trial.py
@@ -1,7 +1,7 @@
-"""Clients leave before their answer while some backends hang."""
+"""A host is cut off from the store while the first accounts are introduced."""
 
 import asyncio
-import collections
+import json
 import os
 import pathlib
 import sys
@@ -14,133 +14,163 @@
 
 SEED = int(os.environ.get('SEED', '1'))
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-SERVICES = [f'shard-{number}' for number in range(20)]
-# The class lot-history: 10 records from 0.89 of the shards, aim 118 ms.
-AIM_MS = 118
-DEADLINE_MS = 1500
-# Largest doses that the site file names.
-HANGING_SHARE = 0.14
-HANGS = 0.45
-LEAVING_SHARE = 0.3
-LENGTH_S = 20
-REQUESTS_PER_S = 34
-# Work of a part, and pauses of each backend at its own time.
-WORK_S = 0.0165
-PAUSE_S = 0.12
-PAUSE_EVERY_S = 3
-# From the rule.
-LATE_S = 0.5
-ALLOWED_SHARE = 0.25
-
-
-async def load(world, left_at):
-    counts = collections.Counter()
-    tasks = []
-
-    async def one():
-        leaves = TROUBLE and world.random.random() < LEAVING_SHARE
-        host = world.random.choice(world.hosts)
-        request_id, status, closed_at = await world_module.send(
-            world, host, DEADLINE_MS, AIM_MS / 2000 if leaves else None
-        )
-        counts[status] += 1
-        if status == 'left':
-            left_at[request_id] = closed_at
-
-    for _ in range(LENGTH_S * REQUESTS_PER_S):
-        tasks.append(asyncio.create_task(one()))
-        await asyncio.sleep(world.random.expovariate(REQUESTS_PER_S))
-    await asyncio.gather(*tasks)
-    return counts
+SERVICE = 'archive'
+TENANT = 'alpha'
+KEY = 'key-of-alpha'
+UNKNOWN_KEY = 'key-of-nobody'
+# Longest cut of a single machine from the store on the days of the sites.
+CUT_S = 5.5
+# From the acknowledgement of the version to the first request.
+FIRST_AFTER_S = 1
+REQUESTS = 16
+INTERVAL_S = 0.2
+DEADLINE_MS = 2000
+
+
+class Way:
+    """The way of the host to the store; holds everything while it is cut."""
+
+    def __init__(self, store_port):
+        self.store_port = store_port
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._carry, '127.0.0.1', 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _carry(self, reader, writer):
+        try:
+            await self.is_open.wait()
+            there = await asyncio.open_connection('127.0.0.1', self.store_port)
+            await asyncio.gather(
+                self._copy(reader, there[1]), self._copy(there[0], writer)
+            )
+        except (OSError, asyncio.CancelledError):
+            writer.close()
+
+    async def _copy(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.is_open.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
+async def send(world, key):
+    """Send one request with a key; return its id and its status."""
+    request_id = world.new_id()
+    host = world.hosts[0]
+    reader, writer = await asyncio.open_connection('127.0.0.1', host.front)
+    writer.write(
+        f'GET /archive/{request_id} HTTP/1.1\r\n'
+        f'Host: {world_module.HOST_NAME}\r\nX-Key: {key}\r\n'
+        f'X-Request-Id: {request_id}\r\n'
+        f'X-Request-Deadline: {DEADLINE_MS}\r\n\r\n'.encode()
+    )
+    try:
+        async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+            first, headers = await world_module.read_head(reader)
+            await world_module.read_body(reader, headers)
+        return request_id, first.split(' ')[1]
+    except (TimeoutError, asyncio.IncompleteReadError, OSError) as error:
+        return request_id, type(error).__name__
+    finally:
+        writer.close()
 
 
 async def run():
     world = world_module.World(SEED)
     try:
-        await world.start(
-            SERVICES,
-            2,
-            2,
-            [
-                world_module.gather_route(
-                    SERVICES,
-                    min_shard_ratio=0.89,
-                    target_latency_ms=AIM_MS,
-                    timeout_ms=DEADLINE_MS,
-                )
-            ],
-            26,
-        )
-        hanging = set()
-        if TROUBLE:
-            count = int(HANGING_SHARE * len(world.backends))
-            hanging.update(world.random.sample(sorted(world.backends), count))
-        world.fault = lambda backend, _: (
-            'hang'
-            if backend.backend_id in hanging and world.random.random() < HANGS
-            else ''
-        )
-        pause_at = {
-            backend_id: world.random.uniform(0, PAUSE_EVERY_S)
-            for backend_id in world.backends
-        }
-
-        def work_s(backend):
-            since_s = time.monotonic() - pause_at[backend.backend_id]
-            pause_s = max(0, PAUSE_S - since_s % PAUSE_EVERY_S)
-            return pause_s + WORK_S * world.random.lognormvariate(0, 0.35)
-
-        world.work_s = work_s
-        await asyncio.sleep(2)
-        left_at = {}
-        counts = await load(world, left_at)
-        await asyncio.sleep(DEADLINE_MS / 1000 + 1)
-        judged, gone_on = judge(world, left_at)
-        write_record(world, left_at, counts, judged, gone_on)
+        return await play(world)
     finally:
         world.close()
-    if counts['200'] < 0.5 * world.request_count:
-        print('the case could not run: few requests were answered')
+
+
+async def play(world):
+    await world.store.start()
+    way = Way(world.store.port)
+    await way.start()
+    for number in range(3):
+        backend_id = f'i-{SERVICE}-{number}'
+        backend = world_module.Backend(world, backend_id, SERVICE, slots=4)
+        world.backends[backend_id] = backend
+        await backend.start()
+    route = {
+        'name': 'archive-pull',
+        'host': world_module.HOST_NAME,
+        'prefix': '/archive/',
+        'route_type': 'safe',
+        'service': SERVICE,
+        'timeout_ms': DEADLINE_MS,
+        'target_latency_ms': 1585,
+        'priority': 2,
+        'attempts': 2,
+    }
+    world.publish(7, [route], [SERVICE], 420)
+    host = world_module.Host(world, 'front-0', store_port=way.port)
+    world.hosts = [host]
+    host.start()
+    await host.wait_ready()
+    await asyncio.sleep(2)
+    if TROUBLE:
+        way.is_open.clear()
+        await asyncio.sleep(0.2)
+    tenants = [{'name': TENANT, 'api_keys': [KEY]}]
+    acknowledged_at = time.monotonic()
+    world.publish(9, [route], [SERVICE], 420, tenants=tenants)
+    await asyncio.sleep(FIRST_AFTER_S)
+    sent = []
+    for number in range(REQUESTS):
+        key = UNKNOWN_KEY if number % 2 else KEY
+        sent_at = time.monotonic() - acknowledged_at
+        request_id, status = await send(world, key)
+        sent.append((request_id, key, status, sent_at))
+        await asyncio.sleep(INTERVAL_S)
+    last_s = sent[-1][3]
+    way.is_open.set()
+    await asyncio.sleep(2)
+    after = [(key, (await send(world, key))[1]) for key in (KEY, UNKNOWN_KEY)]
+    return judge(world, sent, last_s, after)
+
+
+def judge(world, sent, last_s, after):
+    tenants_by_id = {run.request_id: run.tenant for run in world.runs}
+    unasked, routed, passed_on = [], [], []
+    lines = []
+    for request_id, key, status, sent_at in sent:
+        has_run = request_id in tenants_by_id
+        tenant = tenants_by_id.get(request_id)
+        if has_run and key == KEY and tenant != TENANT:
+            unasked.append(request_id)
+        if has_run and key == UNKNOWN_KEY:
+            routed.append(request_id)
+        lines.append(
+            f'{sent_at:.2f} s after the acknowledgement: request {request_id}'
+            f' with {key}: status {status},'
+            f' {"ran for tenant " + repr(tenant) if has_run else "did not run"}'
+        )
+    passed_on = [run for run in world.runs if run.key is not None]
+    with (HERE / 'record.txt').open('w') as record:
+        print(f'seed {SEED}, trouble {TROUBLE}', file=record)
+        print(*lines, sep='\n', file=record)
+        print(f'after the cut: {json.dumps(after)}', file=record)
+        print(f'keys passed on: {len(passed_on)}', file=record)
+    if last_s > CUT_S:
+        print(f'the case could not run: the cut lasted over {CUT_S} s')
+        return 2
+    if after[0][1] != '200' or after[1][1] != '401':
+        print(f'the case could not run: after the cut, {after}')
         return 2
     print(
-        f'{len(left_at)} clients left; {gone_on} of {judged} runs that would'
-        f' have lasted went on {LATE_S} s later'
+        f'{len(routed)} requests ran with a key that no configuration held,'
+        f' {len(unasked)} ran without the tenant that holds their key'
     )
-    return 1 if judged and gone_on > ALLOWED_SHARE * judged else 0
-
-
-def judge(world, left_at):
-    """Return the lasting runs whose client left, and how many went on."""
-    lasting = [
-        run
-        for run in world.runs
-        if run.request_id in left_at
-        and run.hangs
-        and run.started_at <= left_at[run.request_id] + LATE_S
-    ]
-    gone_on = [
-        run
-        for run in lasting
-        if run.ended_at is None
-        or run.ended_at > left_at[run.request_id] + LATE_S
-    ]
-    return len(lasting), len(gone_on)
-
-
-def write_record(world, left_at, counts, judged, gone_on):
-    with (HERE / 'record.txt').open('w') as record:
-        print(f'seed {SEED}, trouble {TROUBLE}', file=record)
-        print(f'sent {world.request_count}, ended {dict(counts)}', file=record)
-        print(f'runs {len(world.runs)}', file=record)
-        print(f'runs judged {judged}, went on {gone_on}', file=record)
-        for run in world.runs:
-            if run.hangs and run.request_id in left_at:
-                ended_s = (run.ended_at or 0) - left_at[run.request_id]
-                print(
-                    f'request {run.request_id} at {run.backend_id}: ended'
-                    f' {ended_s:.3f} s after its client had left',
-                    file=record,
-                )
+    return 1 if routed or unasked or passed_on else 0
 
 
 try:
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -24,6 +25,9 @@
 HOST_NAME = 'shop.example'
 READY_WITHIN_S = 20
 
+# The processes of a trial end with it, also when it is stopped.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 
 def seal_of(backend_id, request_id, status):
     text = f'{backend_id}.{request_id}.{status}'
@@ -219,8 +223,10 @@
 class Run:
     """One request that a backend server has begun to work on."""
 
-    def __init__(self, request_id, backend):
+    def __init__(self, request_id, backend, headers):
         self.request_id = request_id
+        self.tenant = headers.get('x-tenant')
+        self.key = headers.get('x-key')
         self.backend_id = backend.backend_id
         self.service = backend.service
         self.started_at = time.monotonic()
@@ -271,9 +277,13 @@
             writer.close()
 
     async def _serve_request(self, reader, writer):
-        _, headers = await read_head(reader)
+        first, headers = await read_head(reader)
         await read_body(reader, headers)
-        request_id = headers['x-request-id']
+        request_id = headers.get('x-request-id')
+        if request_id is None:
+            self.world.without_id.append(first)
+            self._reply(writer, '', 400, 'X-Not-Executed: 1\r\n')
+            return True
         if headers.get('x-target-instance') != self.backend_id:
             self._reply(writer, request_id, 421)
             return True
@@ -288,7 +298,7 @@
             self.present -= 1
 
     async def _run(self, reader, writer, request_id, headers):
-        run = Run(request_id, self)
+        run = Run(request_id, self, headers)
         self.world.runs.append(run)
         fault = self.world.fault(self, request_id)
         if fault == 'hang':
@@ -327,7 +337,7 @@
 class Host:
     """A host process, started with the command of the deploy file."""
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, store_port=None):
         self.world = world
         self.name = name
         self.front, self.ready, metrics, peers = free_ports(4)
@@ -348,7 +358,7 @@
             'availability_zones': ['z1'],
             'leave_zone': {'enabled': False},
             'readiness': f'127.0.0.1:{self.ready}',
-            'store': f'127.0.0.1:{world.store.port}',
+            'store': f'127.0.0.1:{store_port or world.store.port}',
             'retry_share': 0.2,
             'retry_burst': 56,
             'stop_within_s': 6,
@@ -411,6 +421,8 @@
         self.backends = {}
         self.hosts = []
         self.runs = []
+        # First lines of requests without an id, which do not run.
+        self.without_id = []
         self.request_count = 0
         self.fault = lambda backend, request_id: ''
         self.work_s = lambda backend: 0.02
@@ -422,8 +434,17 @@
                 backend = Backend(self, f'i-{service}-{number}', service)
                 self.backends[backend.backend_id] = backend
                 await backend.start()
+        self.publish(7, routes, services, max_connections)
+        self.hosts = [Host(self, f'front-{n}') for n in range(hosts)]
+        for host in self.hosts:
+            host.start()
+        for host in self.hosts:
+            await host.wait_ready()
+
+    def publish(self, version, routes, services, max_connections, **fields):
+        """Write a configuration as the operator does."""
         configuration = {
-            'version': 7,
+            'version': version,
             'routes': routes,
             'services': [
                 {
@@ -439,13 +460,9 @@
                 'header_timeout_ms': 3000,
                 'idle_timeout_ms': 15000,
             },
+            **fields,
         }
         self.store.put('op/config', json.dumps(configuration).encode())
-        self.hosts = [Host(self, f'front-{n}') for n in range(hosts)]
-        for host in self.hosts:
-            host.start()
-        for host in self.hosts:
-            await host.wait_ready()
 
     def new_id(self):
         self.request_count += 1
