Cancel what is still open when a request ends

Cause: the open attempts of a request were cancelled only if it ended without enough parts. After a partial answer, after a caller that left with enough parts in, and after a hedge that won, the others ran on. Parts for other hosts did the same, and the end of the link to a host did not wake the requests for it.

Change: every end ends the attempts. Most stragglers are answered within it and keep their connections.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -86,8 +86,11 @@
         counter = work.message.part_counter
         if counter is not None:
             counter.was_sent = False
+        # Also if the caller leaves, which cancels this task.
+        cancel_at_once = True
         try:
             await self._run_until_finished(work, changed)
+            cancel_at_once = work.answered_count < work.needed
         except guard.RequestEvicted:
             work.is_evicted = True
         except curio.CancelledError:
@@ -98,7 +101,9 @@
             ending = work.end()
             # In a separate task, so that the answer is sent before the
             # messages that end the work of other hosts.
-            await curio.spawn(self._end_remote_work, work, daemon=True)
+            await curio.spawn(
+                self._end_remote_work, work, cancel_at_once, daemon=True
+            )
         return ending
 
     async def run_parts(
@@ -108,8 +113,9 @@
         changed = curio.Event()
         self._changed_by_work[work] = changed
         try:
-            self.dispatcher.start(work, self._clock())
-            await self.send()
+            if not work.is_finished(self._clock()):
+                self.dispatcher.start(work, self._clock())
+                await self.send()
             while not work.is_finished(self._clock()):
                 await self._wait(work, changed)
                 if not work.is_finished(self._clock()):
@@ -118,8 +124,7 @@
             self._changed_by_work.pop(work)
             ending = work.end()
             await report.send(is_last=True)
-            if work.should_cancel:
-                await self._cancel(work)
+            await self._end_attempts(work, at_once=work.should_cancel)
         return ending
 
     async def limit_deadlines(self, latest: float) -> None:
@@ -244,14 +249,24 @@
             await changed.wait()
         changed.clear()
 
-    async def _end_remote_work(self, work: requeststate.Work) -> None:
+    async def _end_remote_work(
+        self, work: requeststate.Work, cancel_at_once: bool
+    ) -> None:
         """End the work of other hosts and backend servers for a request."""
-        await self.peer_client.end(work)
-        # The attempts of an answered request are not cancelled: they end by
-        # themselves, and closing their connections would require new ones.
-        if work.answered_count < work.needed:
-            await self._cancel(work)
+        await self.peer_client.end(work, cancel=cancel_at_once)
+        await self._end_attempts(work, at_once=cancel_at_once)
 
-    async def _cancel(self, work: requeststate.Work) -> None:
+    async def _end_attempts(
+        self, work: requeststate.Work, *, at_once: bool
+    ) -> None:
+        """Cancel the open attempts of an ended request.
+
+        Those of an answered request get a grace period, since a cancellation
+        closes the connection. They must not go on up to the deadline: the
+        caller may leave just after its answer.
+        """
         for attempt in work.open_attempts():
-            await self.transport.cancel(attempt)
+            if at_once:
+                await self.transport.cancel(attempt)
+            else:
+                self.transport.cancel_after_grace(attempt)
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -259,9 +259,15 @@
             self._log_handover(events.Event.HANDOVER_SILENT, handover)
             self._metrics.increment('host.silent_owners')
 
-    async def end(self, work: requeststate.Work) -> None:
-        """End the open handovers of a request that has ended."""
-        cancel = work.answered_count < work.needed
+    async def end(self, work: requeststate.Work, *, cancel: bool) -> None:
+        """End the open handovers of a request that has ended.
+
+        Parameters
+        ----------
+        work : requeststate.Work
+        cancel : bool
+            Whether the other hosts cancel their attempts at once.
+        """
         for handover in work.handovers:
             if handover.is_open:
                 await self._end_handover(handover, cancel=cancel)
@@ -464,10 +470,12 @@
                 self.on_pong(link, message.pong)
 
     async def on_closed(self, link: linkkeepalive.WireLink) -> None:
-        """Abandon the requests of a host whose link on_closed."""
+        """Abandon the requests of a host whose link has closed."""
         self._feed.on_link_closed(link)
-        for peer_request in self._requests_by_link.pop(link, {}).values():
+        peer_requests = self._requests_by_link.pop(link, {})
+        for peer_request in list(peer_requests.values()):
             peer_request.work.abandon(cancel=True)
+            await self._server.wake(peer_request.work)
 
     async def _start_parts(
         self, link: linkkeepalive.WireLink, request: wire_pb2.PartsRequest
--- a/cardamomflow/platform/backendlink.py
+++ b/cardamomflow/platform/backendlink.py
@@ -40,6 +40,9 @@
 CONNECT_TIMEOUT_S = 0.3
 # Time after the deadline at which a connection without an answer is closed.
 OVERDUE_GRACE_S = 0.2
+# Time after the end of its request at which an attempt is cancelled. Most
+# stragglers are answered before, which keeps their connections open.
+STRAGGLER_GRACE_S = 0.35
 SWEEP_INTERVAL_S = 0.1
 MAX_BODY_BYTES = 16_777_216
 # Limit for the body of a failure, which is only passed on.
@@ -180,6 +183,11 @@
         if attempt.connection is not None:
             await attempt.connection.close()
 
+    def cancel_after_grace(self, attempt: requeststate.Attempt) -> None:
+        """Cancel an attempt of an ended request unless it is answered soon."""
+        if attempt.connection is not None:
+            attempt.connection.cancel_at(self._clock() + STRAGGLER_GRACE_S)
+
     async def can_connect(
         self, backend: register.Backend, timeout_s: float
     ) -> bool:
@@ -199,7 +207,7 @@
             await connection.close()
 
     async def sweep(self) -> None:
-        """Close connections with overdue answers, until cancelled."""
+        """Close connections with overdue or unneeded answers, in a loop."""
         while True:
             await curio.sleep(SWEEP_INTERVAL_S)
             now = self._clock()
@@ -209,7 +217,7 @@
                 if connection.overdue_at <= now
             ]
             for connection in overdue:
-                await connection.close(limits.CallOutcome.TIMEOUT)
+                await connection.close(connection.overdue_outcome)
 
     async def close(self) -> None:
         """Close all connections; attempts end as cancelled."""
@@ -316,6 +324,7 @@
         self.attempt: requeststate.Attempt | None = None
         self.usable_until = clock() + IDLE_LIMIT_S
         self.overdue_at = float('inf')
+        self.overdue_outcome = limits.CallOutcome.TIMEOUT
         self._sock = duplex.DuplexSocket(sock)
         self._poller = select.poll()
         self._poller.register(sock.fileno(), select.POLLIN)
@@ -343,6 +352,7 @@
         attempt.connection = self
         work = attempt.subrequest.work
         self.overdue_at = work.deadline + OVERDUE_GRACE_S
+        self.overdue_outcome = limits.CallOutcome.TIMEOUT
         self._request_id = work.message.request_id
         self._interim_count = 0
         head, body = self._serialize(work.message, work.deadline)
@@ -351,6 +361,12 @@
         if body:
             await self._post_body(body)
 
+    def cancel_at(self, due_at: float) -> None:
+        """Cancel the attempt at a monotonic time, unless it is answered."""
+        if due_at < self.overdue_at:
+            self.overdue_at = due_at
+            self.overdue_outcome = limits.CallOutcome.CANCELLED
+
     async def run(self) -> None:
         """Read answers until the connection is closed."""
         try:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -225,7 +225,7 @@
 
         async def scenario(world):
             ended = curio.Event()
-            world.host.peer_client.end = lambda work: ended.wait()
+            world.host.peer_client.end = lambda work, cancel: ended.wait()
             for name in (SERVICES[0], SERVICES[1]):
                 for replica in range(2):
                     world.backends_by_id[f'{name}{replica}'].pause_s = 5
