Refuse keys at hosts that can't ask whether there are accounts

Cause: a host without accounts asked the store and other hosts, and served the request all the same when nobody answered.

Change: without an answer, requests with a key get 503 not_ready, not run, with Retry-After, except on public routes. After an unanswered check, requests are refused at once, and the first confirmation by the store or another host ends that. Requests without a key never look at any of this.

--- a/cardamomflow/accounts/authentication.py
+++ b/cardamomflow/accounts/authentication.py
@@ -68,6 +68,7 @@
     age_s: float,
     *,
     is_public: bool,
+    is_confirmed: bool = True,
 ) -> table.Account | None:
     """Return the account of a request; None if it needs none.
 
@@ -80,6 +81,8 @@
         Seconds since the configuration was confirmed.
     is_public : bool
         Whether the route needs no key.
+    is_confirmed : bool
+        Whether it is confirmed that there are no accounts, if none are known.
 
     Raises
     ------
@@ -89,15 +92,27 @@
         The key may have been added since the configuration was confirmed.
     """
     if not accounts:
+        if key is not None and not is_public and not is_confirmed:
+            raise _not_ready(
+                'accounts that hold the key may have been introduced'
+            )
         return None
     account = None if key is None else accounts.find(key)
     if account is not None or is_public:
         return account
     if key is None:
         raise errors.UnknownKey('the request needs an API key')
+    raise _unknown_key(age_s)
+
+
+def _unknown_key(age_s: float) -> errors.FlowError:
+    """Return the error of a key that no known account holds."""
     if age_s > MAX_AGE_S:
-        raise errors.NotReady(
-            'the accounts known here are too old to refuse an unknown key',
-            retry_after_s=RETRY_AFTER_S,
+        return _not_ready(
+            'the accounts known here are too old to refuse an unknown key'
         )
-    raise errors.UnknownKey('no account holds the API key')
+    return errors.UnknownKey('no account holds the API key')
+
+
+def _not_ready(message: str) -> errors.NotReady:
+    return errors.NotReady(message, retry_after_s=RETRY_AFTER_S)
--- a/cardamomflow/daemons.py
+++ b/cardamomflow/daemons.py
@@ -36,6 +36,7 @@
 from cardamomflow.generated import wire_pb2
 from cardamomflow.heldbytes import guard, sizing
 from cardamomflow.platform import front
+from cardamomflow.quotas import service as quota_service
 
 DEFAULT_DRAIN_DELAY_S = 0.5
 DEFAULT_DRAIN_TIMEOUT_S = 35.0
@@ -251,7 +252,7 @@
         store, program.directory, program, feed_links, process_context
     )
     program.accounts_check = check.AccountsCheck(
-        store, follower, process_context
+        store, follower, process_context, quota_service.boottime
     )
     peer_server = peering.PeerServer(process_context, program, feed_links)
     peer_server.token_server = program.quotas
--- a/cardamomflow/discovery.py
+++ b/cardamomflow/discovery.py
@@ -585,7 +585,7 @@
 
     async def _publish(self, update: changefeed.Update) -> None:
         self._known_at = max(self._known_at, update.confirmed_at)
-        self._listener.on_platform_confirmed(self._known_at)
+        await self._listener.on_platform_confirmed(self._known_at)
         await self._peers.publish(update)
 
     def _batching_s(self) -> float:
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -152,13 +152,15 @@
                 await self.transport.close_idle(change.backend_id)
         await self.active_requests.send()
 
-    def on_platform_confirmed(self, confirmed_at: float) -> None:
+    async def on_platform_confirmed(self, confirmed_at: float) -> None:
         """Record when the platform confirmed the data of this host."""
         self.platform_confirmed_at = confirmed_at
         self._confirmation_age.record(
             confirmed_at, self._clock(), quota_service.boottime()
         )
         self.quotas.on_confirmed(confirmed_at)
+        if self.accounts_check is not None:
+            await self.accounts_check.on_confirmed(confirmed_at)
 
     async def on_hosts_counted(self, hosts: int) -> None:
         """Update the number of hosts that share connections and budgets.
@@ -279,6 +281,8 @@
             key,
             _real_age_s(self._confirmation_age),
             is_public=route.is_public,
+            is_confirmed=self.accounts_check is None
+            or self.accounts_check.is_confirmed,
         )
 
     async def answer(
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -120,7 +120,8 @@
         'host_account_checks',
         'outcome',
         'Checks for accounts after a key at a host that knows none; `answered`'
-        ' by the store or by a newer configuration, or `unanswered`.',
+        ' by the store or another host, or `unanswered`, after which requests'
+        ' with a key are refused.',
     ),
     MetricDefinition(
         'host.feed_probes',
--- a/cardamomflow/platformview.py
+++ b/cardamomflow/platformview.py
@@ -40,7 +40,7 @@
         """Handle changes of the list of backend servers."""
 
     @abc.abstractmethod
-    def on_platform_confirmed(self, confirmed_at: float) -> None:
+    async def on_platform_confirmed(self, confirmed_at: float) -> None:
         """Handle the time when the platform confirmed the host's data."""
 
     @abc.abstractmethod
