Grant each further attempt of a host that requests parts for another

Callers saw nothing.

Cause: the host made as many attempts as the route allows, and told of the second after it was sent, if it still could. The asking host counted one.

Change: a request for parts grants one attempt for each. For another one the host asks with its next report (needs_attempt); the asking host answers with PartsGrant and counts the attempt from then on, whatever happens to the message or the host. If the host is lost, its parts get what is left. The numbers of the wire are added ones; a host of an earlier release gets all attempts as before.

--- a/cardamomflow/activerequests.py
+++ b/cardamomflow/activerequests.py
@@ -173,6 +173,9 @@
 
     async def wake(self, work: requeststate.Work) -> None:
         """Send the decided attempts and wake the task of a changed request."""
+        if work.granted:
+            granted, work.granted = work.granted, ()
+            self.dispatcher.on_grant(granted, self._clock())
         await self.send()
         changed = self._changed_by_work.get(work)
         if changed is not None and work.needs_report(self._clock()):
@@ -244,6 +247,8 @@
         """Wait until a request changes or its next check is due."""
         next_at = self.dispatcher.tick(work, self._clock())
         await self.send()
+        if work.needs_report(self._clock()):
+            return
         next_at = min(next_at, self.peer_client.next_check_at(work))
         async with curio.ignore_after(max(0, next_at - self._clock())):
             await changed.wait()
--- a/cardamomflow/delegatedparts.py
+++ b/cardamomflow/delegatedparts.py
@@ -5,9 +5,17 @@
 which saves most of the bytes.
 """
 
-from collections.abc import Iterable
-
-from cardamomflow import directory, errors, requeststate, routes, rules, scatter
+from collections.abc import Container, Iterable
+
+from cardamomflow import (
+    delegation,
+    directory,
+    errors,
+    requeststate,
+    routes,
+    rules,
+    scatter,
+)
 from cardamomflow.accounts import table
 from cardamomflow.generated import wire_pb2
 from cardamomflow.platform import backendlink, requestheaders
@@ -35,6 +43,7 @@
         started_at: float,
         budget_s: float,
         account: table.Account | None = None,
+        granted_attempts: int = 0,
     ) -> None:
         """Start the query.
 
@@ -47,6 +56,9 @@
         budget_s : float
             Time in seconds until the other host stops waiting.
         account : table.Account, optional
+        granted_attempts : int
+            Attempts for each part that may be made without asking; 0 for all
+            that the route allows.
         """
         super().__init__(
             route,
@@ -62,6 +74,9 @@
         self.should_cancel = False
         self._reported: set[requeststate.Subrequest] = set()
         self._has_reported = False
+        if granted_attempts:
+            for subrequest in self.subrequests:
+                subrequest.attempt_limit = granted_attempts
 
     @property
     def rank(self) -> rules.Rank:
@@ -86,10 +101,10 @@
     def needs_report(self, now: float) -> bool:
         """Whether the other host needs a report now.
 
-        Parts are collected until a second attempt starts, when the first report
-        is due. From then on every settled part is reported at once.
+        Parts are collected until a second attempt is needed, when the first
+        report is due. From then on every settled part is reported at once.
         """
-        if self.is_finished(now):
+        if self.grant_requests or self.is_finished(now):
             return True
         if self._has_reported:
             return self.answered_count + self.failed_count > len(self._reported)
@@ -97,11 +112,33 @@
             len(subrequest.attempts) > 1 for subrequest in self.subrequests
         )
 
+    def apply_grant(self, services: Container[str]) -> None:
+        """Apply a grant of one further attempt for each of some parts.
+
+        Parameters
+        ----------
+        services : container of str
+            Those that need no attempt any more are ignored.
+        """
+        granted = [
+            subrequest
+            for subrequest in self.open_subrequests()
+            if subrequest.service in services
+            and subrequest.grant_reason is not None
+        ]
+        for subrequest in granted:
+            subrequest.attempt_limit += 1
+        self.granted = [*self.granted, *granted]
+
     def take_unreported(
         self, attempt_id: int, *, is_last: bool
     ) -> wire_pb2.PartsAnswer:
-        """Return the parts not reported yet, and those that failed."""
+        """Return the parts not reported yet, and those that failed.
+
+        Also returns for which parts an attempt has to be granted.
+        """
         self._has_reported = True
+        grant_requests, self.grant_requests = self.grant_requests, []
         unreported = [
             subrequest
             for subrequest in self.subrequests
@@ -145,6 +182,11 @@
                 for reply in replies_by_subrequest.values()
                 if reply.leaving is not None
             ],
+            needs_attempt=[
+                subrequest.service
+                for subrequest in grant_requests
+                if not subrequest.is_settled
+            ],
         )
 
 
@@ -179,6 +221,7 @@
         limit=work.route.limit,
         asked_by=asked_by,
         account=work.account.name if work.account else '',
+        granted_attempts=delegation.GRANTED_ATTEMPTS,
     )
 
 
@@ -228,6 +271,7 @@
         now,
         budget_s,
         table.Account(request.account) if request.account else None,
+        request.granted_attempts,
     )
 
 
--- a/cardamomflow/delegation.py
+++ b/cardamomflow/delegation.py
@@ -6,7 +6,7 @@
 
 import itertools
 import math
-from collections.abc import Container
+from collections.abc import Container, Iterable
 
 from cardamomflow import avoidedmembers, ownership, requeststate, routes
 
@@ -28,6 +28,9 @@
 # Delay in seconds before a silent host is checked again: its message may be
 # unread because this process was busy or paused.
 SILENCE_RECHECK_S = 0.005
+# Attempts for each part that a host may make before it asks for more. A host
+# that is lost may have made all that it was granted.
+GRANTED_ATTEMPTS = 1
 # Time in seconds for which a silent host gets no parts: a stopped process
 # rarely resumes sooner, and other hosts can request the parts.
 AVOIDED_S = 2.0
@@ -94,6 +97,27 @@
         self.is_open = True
         for subrequest in subrequests:
             subrequest.handover = self
+            subrequest.remote_attempts = GRANTED_ATTEMPTS
+
+    def grant(self, services: Iterable[str]) -> list[str]:
+        """Grant one further attempt for open parts; return their services.
+
+        From now on the attempt counts as made: the host may be lost at any
+        moment, and so may each message.
+
+        Parameters
+        ----------
+        services : iterable of str
+            Services for which the host needs an attempt.
+        """
+        needed = set(services)
+        granted = []
+        for subrequest in self.unsettled_subrequests():
+            is_allowed = subrequest.remote_attempts < self.work.route.attempts
+            if subrequest.service in needed and is_allowed:
+                subrequest.remote_attempts += 1
+                granted.append(subrequest.service)
+        return granted
 
     @property
     def work(self) -> requeststate.Work:
--- a/cardamomflow/dispatching.py
+++ b/cardamomflow/dispatching.py
@@ -35,6 +35,8 @@
 # slots, so that they do not wait for less urgent ones of the same host.
 URGENT_EXTRA_ATTEMPTS = 1
 _MS_PER_S = 1000
+# Reason of an attempt that was granted as a hedge.
+OVERDUE = 'overdue'
 
 
 class Dispatcher:
@@ -181,20 +183,37 @@
             subrequest.handover = None
             if was_sent:
                 subrequest.may_have_run = True
-                subrequest.remote_attempts = 1
+                subrequest.remote_attempts = max(1, subrequest.remote_attempts)
                 self._retry(subrequest, 'host_lost', now)
             else:
+                subrequest.remote_attempts = 0
                 self._budgets.for_service(
                     subrequest.service
                 ).record_first_attempt()
                 self._send_or_enqueue(subrequest, now)
 
+    def on_grant(
+        self, subrequests: Iterable[requeststate.Subrequest], now: float
+    ) -> None:
+        """Make the attempts that the host that asked has granted."""
+        for subrequest in subrequests:
+            reason, subrequest.grant_reason = subrequest.grant_reason, None
+            if subrequest.is_settled:
+                continue
+            if subrequest.open_attempts:
+                self._hedge(subrequest, now)
+            else:
+                self._retry(subrequest, reason or OVERDUE, now)
+
     def tick(self, work: requeststate.Work, now: float) -> float:
         """Hedge overdue subrequests; return when to call this again."""
         next_at = work.deadline
         if now < work.answer_at:
             next_at = min(next_at, work.answer_at)
-        delay_s = self._hedge_delay_s(work.route)
+        delay_s = min(
+            self._hedges.delay_s(work.route.name),
+            work.route.target_s * LATEST_HEDGE_SHARE,
+        )
         for subrequest in work.open_subrequests():
             attempts = subrequest.open_attempts
             if len(attempts) != 1 or not _may_hedge(subrequest):
@@ -345,16 +364,16 @@
         """Try another backend server if the route and the budget allow it."""
         if subrequest.open_attempts or subrequest.is_queued:
             return
+        candidates = []
         if subrequest.work.route.repeatable or not subrequest.may_run:
             candidates = self._candidates(subrequest, now)
-            if (
-                candidates
-                and self._budgets.for_service(subrequest.service).withdraw()
-            ):
-                if not self._send(subrequest, candidates, now):
-                    self.queues.push(subrequest, now)
-                return
-        subrequest.work.mark_failed(subrequest, reason)
+        budget = self._budgets.for_service(subrequest.service)
+        if candidates and _request_grant(subrequest, budget, reason):
+            return
+        if not candidates or not budget.withdraw():
+            subrequest.work.mark_failed(subrequest, reason)
+        elif not self._send(subrequest, candidates, now):
+            self.queues.push(subrequest, now)
 
     def _hedge(self, subrequest: requeststate.Subrequest, now: float) -> None:
         candidates = self._candidates(subrequest, now)
@@ -370,10 +389,12 @@
             now,
             is_hedge=True,
         )
-        if (
-            choice.backend_ids
-            and self._budgets.for_service(subrequest.service).withdraw()
-        ):
+        budget = self._budgets.for_service(subrequest.service)
+        if not choice.backend_ids:
+            return
+        if _request_grant(subrequest, budget, OVERDUE):
+            return
+        if budget.withdraw():
             self._send_to_one(subrequest, choice, now)
 
     def _send(
@@ -437,10 +458,7 @@
     ) -> list[str]:
         """Return the backend servers that a subrequest may be sent to."""
         attempted_ids = subrequest.attempted_ids
-        if (
-            len(attempted_ids) + subrequest.remote_attempts
-            >= subrequest.work.route.attempts
-        ):
+        if subrequest.attempt_count >= subrequest.work.route.attempts:
             return []
         backends = [
             backend_id
@@ -451,10 +469,6 @@
         ]
         return self._zones.prefer_accepting(self.occupancy, backends, now)
 
-    def _hedge_delay_s(self, route: routes.Route) -> float:
-        latest_s = route.target_s * LATEST_HEDGE_SHARE
-        return min(self._hedges.delay_s(route.name), latest_s)
-
     # Queues.
 
     def _send_queued(self, service: str, now: float) -> None:
@@ -474,5 +488,19 @@
             subrequest = self.queues.first(service, now)
 
 
+def _request_grant(
+    subrequest: requeststate.Subrequest,
+    budget: extraload.ExtraAttemptBudget,
+    reason: str,
+) -> bool:
+    """Ask for a further attempt; return False if it needs no grant."""
+    if not subrequest.lacks_grant or not budget.has_token:
+        return False
+    subrequest.request_grant(reason)
+    return True
+
+
 def _may_hedge(subrequest: requeststate.Subrequest) -> bool:
-    return subrequest.work.route.repeatable and not subrequest.is_queued
+    if subrequest.is_queued or subrequest.grant_reason is not None:
+        return False
+    return subrequest.work.route.repeatable
--- a/cardamomflow/extraload.py
+++ b/cardamomflow/extraload.py
@@ -94,6 +94,11 @@
         """Earn a share of a token for a first attempt that was sent."""
         self._bucket.earn(self._share)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether an extra attempt is within the bound."""
+        return self._bucket.has_token
+
     def withdraw(self) -> bool:
         """Withdraw the token of one extra attempt; False if there is none."""
         return self._bucket.withdraw()
--- a/cardamomflow/hosting.py
+++ b/cardamomflow/hosting.py
@@ -349,7 +349,7 @@
         await self.active_requests.limit_deadlines(answer_by)
 
     async def wake(self, work: requeststate.Work) -> None:
-        """Process a request whose requester no longer waits for it."""
+        """Process a request that its requester ended, or granted more."""
         await self.active_requests.wake(work)
 
     async def serve_parts(
--- a/cardamomflow/metricdefinitions.py
+++ b/cardamomflow/metricdefinitions.py
@@ -97,6 +97,12 @@
         '',
         'Messages that asked another host for parts of a query.',
     ),
+    MetricDefinition(
+        'host.granted_attempts',
+        'host_granted_attempts',
+        '',
+        'Further attempts that other hosts asked for and may make.',
+    ),
     MetricDefinition(
         'host.handed_over_unused',
         'host_unused_answers',
--- a/cardamomflow/peering.py
+++ b/cardamomflow/peering.py
@@ -288,6 +288,8 @@
         if answer.is_last:
             handover.is_open = False
             self._forget_handover(handover)
+        elif answer.needs_attempt and handover.is_open:
+            await self._grant(handover, answer.needs_attempt)
         await self._listener.wake(handover.work)
 
     async def take_back(
@@ -331,6 +333,18 @@
             **fields,
         )
 
+    async def _grant(
+        self, handover: delegation.Handover, services: Iterable[str]
+    ) -> None:
+        granted = handover.grant(services)
+        link = self.links.link_to(handover.host_id)
+        if link is not None and granted:
+            self._metrics.increment('host.granted_attempts', len(granted))
+            message = wire_pb2.PartsGrant(
+                attempt_id=handover.attempt_id, services=granted
+            )
+            await link.post_if_open(wire_pb2.Envelope(parts_grant=message))
+
     async def _end_handover(
         self, handover: delegation.Handover, *, cancel: bool
     ) -> None:
@@ -354,7 +368,7 @@
 
     @abc.abstractmethod
     async def wake(self, work: requeststate.Work) -> None:
-        """End a request that the other host no longer waits for."""
+        """Process a request that the other host ended, or granted more."""
 
     @abc.abstractmethod
     async def serve_parts(
@@ -458,6 +472,8 @@
                 await self._start_parts(link, message.parts_request)
             case 'parts_end':
                 await self._end_parts(link, message.parts_end)
+            case 'parts_grant':
+                await self._grant_attempts(link, message.parts_grant)
             case 'feed_request':
                 await self._feed.on_feed_request(link, message.feed_request)
             case 'token_request' if self.token_server is not None:
@@ -516,6 +532,14 @@
             requests_by_attempt.pop(peer_request.attempt_id, None)
             await peer_request.end()
 
+    async def _grant_attempts(
+        self, link: linkkeepalive.WireLink, message: wire_pb2.PartsGrant
+    ) -> None:
+        peer_request = self._requests_by_link[link].get(message.attempt_id)
+        if peer_request is not None:
+            peer_request.work.apply_grant(frozenset(message.services))
+            await self._server.wake(peer_request.work)
+
     async def _end_parts(
         self, link: linkkeepalive.WireLink, message: wire_pb2.PartsEnd
     ) -> None:
--- a/cardamomflow/requeststate.py
+++ b/cardamomflow/requeststate.py
@@ -7,7 +7,7 @@
 
 import enum
 import heapq
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple
 
 from cardamomflow import directory, limits, routes, rules
@@ -147,6 +147,8 @@
         'is_queued',
         'handover',
         'remote_attempts',
+        'attempt_limit',
+        'grant_reason',
         'exceeds_zone',
     )
 
@@ -165,8 +167,13 @@
         self.is_queued = False
         # Set while another host requests this part.
         self.handover: Any = None
-        # 1 if another host may have made an attempt before, otherwise 0.
+        # Attempts that another host may have made, whether or not it reports
+        # them.
         self.remote_attempts = 0
+        # Attempts that this host may make without a further grant.
+        self.attempt_limit = work.route.attempts
+        # Why the requesting host has to grant an attempt, None if it has not.
+        self.grant_reason: str | None = None
         # Whether the own zone was found unable to serve it in time.
         self.exceeds_zone = False
 
@@ -192,6 +199,24 @@
             if attempt.outcome is not refused
         ]
 
+    def request_grant(self, reason: str) -> None:
+        """Ask the requesting host for an attempt with the next report."""
+        if self.grant_reason is None:
+            self.work.grant_requests.append(self)
+        self.grant_reason = reason
+
+    @property
+    def attempt_count(self) -> int:
+        """Attempts that this host made, or another one may have made."""
+        return len(self.attempted_ids) + self.remote_attempts
+
+    @property
+    def lacks_grant(self) -> bool:
+        """Whether the next attempt is allowed, but not granted yet."""
+        return (
+            self.attempt_limit <= self.attempt_count < self.work.route.attempts
+        )
+
     @property
     def is_settled(self) -> bool:
         """Whether the part was received, has failed or is not needed."""
@@ -287,10 +312,15 @@
         Client account of the request.
     is_evicted : bool
         Whether the request ended because its memory is needed for others.
+    grant_requests : list of Subrequest
+        Parts whose next attempt the requesting host has to be asked for.
+    granted : sequence of Subrequest
+        Parts whose next attempt was granted and is not made yet.
     """
 
     is_delegated = False
     is_evicted = False
+    granted: Sequence[Subrequest] = ()
 
     def __init__(
         self,
@@ -331,6 +361,7 @@
         self.subrequests = [Subrequest(self, service) for service in services]
         # Parts that other hosts request.
         self.handovers: list[Any] = []
+        self.grant_requests: list[Subrequest] = []
         self.ended = False
         self.answered_count = 0
         self.failed_count = 0
--- a/cardamomflow/tokens.py
+++ b/cardamomflow/tokens.py
@@ -17,9 +17,14 @@
         """Add tokens; those above the capacity are discarded."""
         self._tokens = min(self._capacity, self._tokens + count)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether a token can be withdrawn."""
+        return self._tokens >= 1
+
     def withdraw(self) -> bool:
         """Remove one token; return False if there is none."""
-        if self._tokens < 1:
+        if not self.has_token:
             return False
         self._tokens -= 1
         return True
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -60,10 +60,14 @@
 
     # Too few for each host, so that parts are handed over.
     connections = 5
+    replicas = 2
 
     def __init__(self):
         super().__init__(
-            SERVICES, replicas=2, zones=('z1',), peers=reserve_address()
+            SERVICES,
+            replicas=self.replicas,
+            zones=('z1',),
+            peers=reserve_address(),
         )
 
     async def __aenter__(self):
@@ -104,7 +108,8 @@
         programs = [self.host, *(parts.host for parts in self.others)]
         return all(
             len(program.peer_client.links.connected) == 2
-            and len(program.directory.backends_by_id) == 2 * len(SERVICES)
+            and len(program.directory.backends_by_id)
+            == self.replicas * len(SERVICES)
             for program in programs
         )
 
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -37,8 +37,8 @@
 MINUTE = 29_940_903
 # Fields that a build after a47eb72 has added; that build sends none of them.
 ADDED_FIELDS_BY_MESSAGE = {
-    'PartsAnswer': {'leaving'},
-    'PartsRequest': {'account'},
+    'PartsAnswer': {'leaving', 'needs_attempt'},
+    'PartsRequest': {'account', 'granted_attempts'},
     'FeedRequest': {'era', 'probe', 'wants_lists'},
     'FeedUpdate': {
         'era',
@@ -48,7 +48,7 @@
     },
 }
 # Messages that a later build has added.
-ADDED_MESSAGES = {'token_request', 'token_grant'}
+ADDED_MESSAGES = {'token_request', 'token_grant', 'parts_grant'}
 CLAIMANT = 'aggregator-zone-a/d40cbfa6'
 TOKEN = 'aggregator-zone-a/f2a74de452e6b438'
 DIGEST = 'a8958346f2be6d6dee7786e06c243b5c'
@@ -363,7 +363,9 @@
             answer.SerializeToString(), b'\x32\x07\x0a\x02a0\x10\xac\x02'
         )
         for message, expected in (
+            (wire_pb2.PartsAnswer(needs_attempt=['a']), b'\x3a\x01a'),
             (wire_pb2.PartsRequest(account='a'), b'\x5a\x01a'),
+            (wire_pb2.PartsRequest(granted_attempts=1), b'\x60\x01'),
             (wire_pb2.FeedRequest(era=2), b'\x28\x02'),
             (wire_pb2.FeedRequest(probe=True), b'\x30\x01'),
             (wire_pb2.FeedRequest(wants_lists=True), b'\x38\x01'),
@@ -406,6 +408,12 @@
                 ),
                 b'\x8a\x01\x08\x08\x01\x10\x02\x18\x03\x20\x01',
             ),
+            (
+                wire_pb2.Envelope(
+                    parts_grant={'attempt_id': 1, 'services': ['a']}
+                ),
+                b'\x92\x01\x05\x08\x01\x12\x01a',
+            ),
         ):
             with self.subTest(envelope.WhichOneof('body')):
                 self.assertEqual(envelope.SerializeToString(), expected)
